--- a/job/submission.go
+++ b/job/submission.go
@@ -18,9 +18,8 @@
 
 // Submission is a well-formed job on its way to its home.
 type Submission struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Service  string
-	Job      beaconpoint.Job
+	Service string
+	Job     beaconpoint.Job
 	// Digest is over the job's content and expiry.
 	Digest uint64
 	// Deadline is the caller's expiry or, where it gave none, the one that
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,9 +18,8 @@
 
 // ID names one life of a process: a restarted process has a new incarnation.
 type ID struct {
-	_msgpack    struct{} `msgpack:",as_array"`
-	Name        string   `json:"name"`
-	Incarnation uint64   `json:"incarnation"`
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // NewID returns the id of one life of the process name.
@@ -40,9 +39,8 @@
 
 // Seat is an entry's place in the roster.
 type Seat struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       ID       `json:"id"`
-	Addr     string   `json:"addr"`
+	ID   ID     `json:"id"`
+	Addr string `json:"addr"`
 	// Leaving seats are home to no job any more; they finish what they own.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -50,18 +48,16 @@
 // Loss is a process that left the roster, kept until nothing it knew can
 // matter any more.
 type Loss struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	ID       ID       `json:"id"`
+	ID ID `json:"id"`
 	// At is when it left, in Unix milliseconds of the writer's clock.
 	At int64 `json:"at"`
 }
 
 // Roster is who takes part in a region at one revision.
 type Roster struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Revision uint64   `json:"revision"`
-	Seats    []Seat   `json:"seats"`
-	Agents   []ID     `json:"agents"`
+	Revision uint64 `json:"revision"`
+	Seats    []Seat `json:"seats"`
+	Agents   []ID   `json:"agents"`
 	// LostSeats and LostAgents left within the retention.
 	LostSeats  []Loss `json:"lost_seats,omitempty"`
 	LostAgents []Loss `json:"lost_agents,omitempty"`
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -32,7 +32,6 @@
 type Target struct {
 	mu      sync.Mutex
 	starts  map[string]int
-	order   []string
 	running int
 	peak    int
 	slow    float64
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -32,6 +32,7 @@
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(buf)
 	enc.UseCompactInts(true)
+	enc.UseArrayEncodedStructs(true)
 	if err := enc.EncodeMulti(&f.Header, f.Body); err != nil {
 		buf.Truncate(start)
 		return fmt.Errorf("wire: encode: %w", err)
--- a/wire/message.go
+++ b/wire/message.go
@@ -44,8 +44,7 @@
 
 // Header goes before each message.
 type Header struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Kind     Kind
+	Kind Kind
 	// Seq grows with each frame that one process sends to another; an agent
 	// takes a seat's frames in growing order only.
 	Seq uint64
@@ -77,16 +76,14 @@
 
 // Hello opens a connection, in both directions.
 type Hello struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Version  int
-	Role     Role
-	ID       roster.ID
-	Region   string
+	Version int
+	Role    Role
+	ID      roster.ID
+	Region  string
 }
 
 // Heartbeat is sent by an entry where nothing else flows.
 type Heartbeat struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Waiting is how many tasks wait at the sender for the receiver's
 	// service.
 	Waiting int
@@ -99,7 +96,6 @@
 
 // AgentHeartbeat answers an entry's frame.
 type AgentHeartbeat struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Service is the service that the agent's target serves.
 	Service string
 	// Window is how many starts the receiver may have unanswered here.
@@ -114,19 +110,16 @@
 
 // Roster hands over a roster.
 type Roster struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Roster   roster.Roster
+	Roster roster.Roster
 }
 
 // Config hands over the operators' configuration, as JSON.
 type Config struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Document []byte
 }
 
 // Target hands an agent its own part of the configuration.
 type Target struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Known       bool
 	Service     string
 	Slots       int
@@ -136,9 +129,8 @@
 
 // TaskKey names one task of one job.
 type TaskKey struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Job      string
-	Index    int
+	Job   string
+	Index int
 }
 
 // String returns the job and the task's index.
@@ -149,9 +141,8 @@
 // Start asks an agent to start a task. An agent that holds a record of the
 // task starts nothing and answers from the record.
 type Start struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      TaskKey
-	TaskID   string
+	Key    TaskKey
+	TaskID string
 	// Digest is of the whole job's content.
 	Digest  uint64
 	Service string
@@ -166,8 +157,7 @@
 // Await asks for the result of a task that was started before; it never
 // starts one.
 type Await struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      TaskKey
+	Key TaskKey
 }
 
 // Status is how a task ended.
@@ -185,8 +175,7 @@
 
 // Result answers a Start or an Await.
 type Result struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      TaskKey
+	Key TaskKey
 	// Seq is that of the frame that is answered.
 	Seq    uint64
 	Status Status
@@ -199,29 +188,25 @@
 // Collect asks an agent for its records of the jobs that the sender is home to
 // and that others started.
 type Collect struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision uint64
 }
 
 // Record is what an agent remembers of one start.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      TaskKey
-	Digest   uint64
-	Expiry   int64
-	Starter  roster.ID
+	Key     TaskKey
+	Digest  uint64
+	Expiry  int64
+	Starter roster.ID
 }
 
 // Records answers a Collect.
 type Records struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision uint64
 	Records  []Record
 }
 
 // Forward hands a submission to its home.
 type Forward struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Ticket     uint64
 	Submission job.Submission
 	// Lookup asks only where the job stands.
@@ -233,21 +218,18 @@
 
 // Reply answers a Forward with the job's answer.
 type Reply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Ticket   uint64
-	Answer   beaconpoint.Answer
+	Ticket uint64
+	Answer beaconpoint.Answer
 }
 
 // Moved is a job whose record stays with its old home.
 type Moved struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Job      string
-	Expiry   int64
+	Job    string
+	Expiry int64
 }
 
 // Doubt is a share of jobs about which it can't be known whether they ran.
 type Doubt struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Seats held the roster while Lost were seated; without any, every job
 	// is in doubt.
 	Seats []roster.Seat
@@ -259,7 +241,6 @@
 // HandOver is what a seat tells each other one at a new revision: the jobs that
 // the receiver is home to and whose records the sender keeps.
 type HandOver struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision uint64
 	// Settled says that the sender has answered for jobs before.
 	Settled bool
