Histories that drive the real home and guard through failures

Cause: the promises were argued, not proved. Change: testutil/world drives the state machines in virtual time through pauses, kills, cuts, splits, store faults, lost, late and doubled frames; rapid draws the histories.

Found and mended on the way: a roster overtaken by a later frame was lost and, because other frames kept the link busy, not sent again for good (an agent stayed at the old revision); map order made histories differ for one seed.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -137,10 +137,7 @@
 	g.running--
 	r.ended = true
 	r.result = wire.Result{Key: key, Status: status, Code: c, Output: output}
-	for seat, seq := range r.waiters {
-		g.answer(now, seat, seq, r.result)
-	}
-	r.waiters = nil
+	g.answerAll(now, r, r.result)
 	if status == wire.NotRun {
 		delete(g.records, key)
 	} else {
@@ -165,7 +162,7 @@
 // Leave makes the guard refuse new starts and tell every seat.
 func (g *Guard) Leave(now clock.Moment) Effects {
 	g.leaving = true
-	for seat := range g.links {
+	for _, seat := range sortedIDs(g.links) {
 		g.beat(now, seat)
 	}
 	return g.drain()
--- a/guard/start.go
+++ b/guard/start.go
@@ -1,6 +1,9 @@
 package guard
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/beaconpoint/beaconpoint/clock"
 	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/roster"
@@ -152,9 +155,7 @@
 	r := g.records[key]
 	g.running--
 	r.ended = true
-	for seat, seq := range r.waiters {
-		g.answer(now, seat, seq, wire.Result{Key: key, Status: wire.NotRun, Code: code.StartExpired})
-	}
+	g.answerAll(now, r, wire.Result{Key: key, Status: wire.NotRun, Code: code.StartExpired})
 	delete(g.records, key)
 }
 
@@ -164,6 +165,20 @@
 	g.send(now, to, r)
 }
 
+// answerAll tells every seat that waits on r.
+func (g *Guard) answerAll(now clock.Moment, r *record, result wire.Result) {
+	for _, seat := range sortedIDs(r.waiters) {
+		g.answer(now, seat, r.waiters[seat], result)
+	}
+	r.waiters = nil
+}
+
+// sortedIDs returns the keys in a fixed order, so that the same events always
+// have the same effects.
+func sortedIDs[V any](m map[roster.ID]V) []roster.ID {
+	return slices.SortedFunc(maps.Keys(m), roster.ID.Compare)
+}
+
 func (g *Guard) beat(now clock.Moment, to roster.ID) {
 	g.send(now, to, wire.AgentHeartbeat{
 		Service:  g.target.Service,
--- a/home/change.go
+++ b/home/change.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/clock"
@@ -87,13 +86,13 @@
 		h.lost = true
 		h.out.Removed = true
 	}
-	for id, l := range h.links {
-		l.registered = h.view.HasAgent(id)
+	for _, l := range h.ordered {
+		l.registered = h.view.HasAgent(l.id)
 	}
 	if h.Seated() && (!slices.Equal(before.Seats, r.Seats) || !h.take.settled()) {
 		h.beginTakeover()
 	}
-	for _, l := range h.links {
+	for _, l := range h.ordered {
 		h.inform(l)
 	}
 	if h.take.pending {
@@ -108,7 +107,7 @@
 
 // gather asks for what the takeover lacks, and hands over what others lack.
 func (h *Home) gather() {
-	for _, l := range h.links {
+	for _, l := range h.ordered {
 		if !l.up {
 			continue
 		}
@@ -127,7 +126,7 @@
 		return
 	}
 	next := h.wanted()
-	if next.Revision == 0 {
+	if sameMembers(next, h.view.Roster) {
 		h.wantSince = 0
 		return
 	}
@@ -138,7 +137,10 @@
 		return
 	}
 	h.wantSince = 0
-	s := Swap{Base: h.view.Revision, Next: next, Change: next.Changes[len(next.Changes)-1]}
+	h.changes++
+	change := fmt.Sprintf("%s-%d", h.cfg.Self, h.changes)
+	next = next.WithLossesSince(h.now.Wall.Add(-h.longestExpiry() - 2*h.cfg.Skew)).WithChange(change)
+	s := Swap{Base: h.view.Revision, Next: next, Change: change}
 	h.proposal = &proposal{swap: s}
 	h.out.Swap = &s
 }
@@ -147,7 +149,7 @@
 func (h *Home) rank() time.Duration {
 	rank := time.Duration(0)
 	for _, s := range h.view.Seats {
-		if s.ID.String() < h.cfg.Self.String() && !h.silent(s.ID) {
+		if s.ID.Compare(h.cfg.Self) < 0 && !h.silent(s.ID) {
 			rank++
 		}
 	}
@@ -161,18 +163,12 @@
 	case !h.Seated() && !h.leaving:
 		r = r.WithSeat(roster.Seat{ID: h.cfg.Self, Addr: h.cfg.Addr}, h.now.Wall)
 	case !h.Seated():
-		return roster.Roster{}
 	default:
 		r = h.wantedLeave(r)
 		r = h.wantedSeats(r)
 		r = h.wantedAgents(r)
 	}
-	if sameMembers(r, h.view.Roster) {
-		return roster.Roster{}
-	}
-	h.changes++
-	r = r.WithLossesSince(h.now.Wall.Add(-h.longestExpiry() - 2*h.cfg.Skew))
-	return r.WithChange(fmt.Sprintf("%s-%d", h.cfg.Self, h.changes))
+	return r
 }
 
 func sameMembers(a, b roster.Roster) bool {
@@ -274,8 +270,6 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b roster.ID) int {
-		return strings.Compare(a.String(), b.String())
-	})
+	slices.SortFunc(ids, roster.ID.Compare)
 	return ids
 }
--- a/home/configure.go
+++ b/home/configure.go
@@ -28,7 +28,7 @@
 	}
 	h.config = config.NewView(d)
 	h.out.Configured = true
-	for _, l := range h.links {
+	for _, l := range h.ordered {
 		h.inform(l)
 	}
 }
@@ -52,8 +52,8 @@
 // name; an agent's host has the agent's name.
 func (h *Home) HostsLeaving(now clock.Moment, leaving map[string]bool) Effects {
 	h.now = now
-	for id, l := range h.links {
-		l.hostLeaving = leaving[id.Name]
+	for _, l := range h.ordered {
+		l.hostLeaving = leaving[l.id.Name]
 	}
 	return h.drain()
 }
--- a/home/home.go
+++ b/home/home.go
@@ -109,6 +109,7 @@
 	SkipDoubt    bool
 	SkipLostFail bool
 	SkipSeq      bool
+	SkipRevision bool
 }
 
 // Stats counts what a home did, for metrics and measurements.
@@ -141,6 +142,7 @@
 	heard    uint64
 	standing *lease.Standing
 	links    map[roster.ID]*link
+	ordered  []*link // the links in the order of their first connection
 	config   *config.View
 	services map[string]*service
 	records  map[string]*record
@@ -259,7 +261,7 @@
 	if h.rules.SkipStanding {
 		return h.Seated()
 	}
-	if !h.Seated() || h.lost || h.heard > h.view.Revision {
+	if !h.Seated() || h.lost || (h.heard > h.view.Revision && !h.rules.SkipRevision) {
 		return false
 	}
 	if len(h.view.Seats) == 1 && len(h.view.Agents) > 0 {
--- a/home/link.go
+++ b/home/link.go
@@ -10,19 +10,20 @@
 
 // link is what a home knows of another process, connected or not.
 type link struct {
-	id        roster.ID
-	role      wire.Role
-	up        bool
-	changedAt time.Duration // when it was connected or cut
-	seq       uint64        // of the last frame sent
-	stamp     int64         // its latest stamp
-	stampAt   time.Duration // when that came
-	heardAt   time.Duration
-	sentAt    time.Duration
-	beatAt    time.Duration
-	settling  bool   // of a seat: it lacks what this home hands over
-	revision  uint64 // the highest roster revision it showed
-	config    uint64 // the highest configuration revision it showed
+	id         roster.ID
+	role       wire.Role
+	up         bool
+	changedAt  time.Duration // when it was connected or cut
+	seq        uint64        // of the last frame sent
+	stamp      int64         // its latest stamp
+	stampAt    time.Duration // when that came
+	heardAt    time.Duration
+	sentAt     time.Duration
+	beatAt     time.Duration
+	informedAt time.Duration // when it was last handed a roster or configuration
+	settling   bool          // of a seat: it lacks what this home hands over
+	revision   uint64        // the highest roster revision it showed
+	config     uint64        // the highest configuration revision it showed
 
 	// Of an agent:
 	service     string
@@ -52,6 +53,7 @@
 	if l == nil {
 		l = &link{id: id, role: role, starts: make(map[wire.TaskKey]*start)}
 		h.links[id] = l
+		h.ordered = append(h.ordered, l)
 	}
 	l.up = true
 	l.changedAt = now.Mono
@@ -101,7 +103,9 @@
 func (h *Home) confirm(l *link, hd wire.Header) {
 	if hd.Revision > h.view.Revision {
 		h.heard = max(h.heard, hd.Revision)
-		return
+		if !h.rules.SkipRevision {
+			return
+		}
 	}
 	if l.role == wire.RoleEntry {
 		h.standing.Confirm(l.id, time.Duration(hd.Echo))
@@ -143,7 +147,7 @@
 // answer to a heartbeat shows the truth, since the roster went before it.
 func (h *Home) informIfBehind(l *link, hd wire.Header) {
 	behind := hd.Revision < h.view.Revision || hd.Config < h.config.Revision
-	if behind && h.now.Mono-l.sentAt >= h.cfg.Heartbeat/2 {
+	if behind && h.now.Mono-l.informedAt >= h.cfg.Heartbeat/2 {
 		h.inform(l)
 	}
 }
@@ -153,6 +157,7 @@
 	if !l.up {
 		return
 	}
+	l.informedAt = h.now.Mono
 	if l.revision < h.view.Revision {
 		h.send(l, wire.Roster{Roster: h.view.Roster})
 	}
--- a/home/place.go
+++ b/home/place.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -128,11 +129,11 @@
 // resend asks again for everything that l has not answered, over a new
 // connection: the agent starts nothing that it has a record of.
 func (h *Home) resend(l *link) {
-	for key, s := range l.starts {
-		h.askAfter(l, key, s)
+	for _, key := range sortedTasks(l.starts) {
+		h.askAfter(l, key, l.starts[key])
 	}
-	for t, f := range h.forwards {
-		if f.to == l.id {
+	for _, t := range slices.Sorted(maps.Keys(h.forwards)) {
+		if f := h.forwards[t]; f.to == l.id {
 			h.sendForward(t, f)
 		}
 	}
@@ -218,7 +219,7 @@
 		h.startAgain(l)
 		return
 	}
-	for key := range l.starts {
+	for _, key := range sortedTasks(l.starts) {
 		delete(l.starts, key)
 		r := h.records[key.Job]
 		if r != nil && r.state == beaconpoint.Running && r.tasks[key.Index].agent == l.id {
@@ -229,7 +230,7 @@
 
 // startAgain is what lose must not do; tests show it.
 func (h *Home) startAgain(l *link) {
-	for key := range l.starts {
+	for _, key := range sortedTasks(l.starts) {
 		delete(l.starts, key)
 		if r := h.records[key.Job]; r != nil && r.state == beaconpoint.Running {
 			r.again(key.Index)
@@ -254,8 +255,8 @@
 
 // replaceAgent gives up on an earlier life of an agent that came back.
 func (h *Home) replaceAgent(id roster.ID) {
-	for other, l := range h.links {
-		if l.role == wire.RoleAgent && other.Name == id.Name && other != id {
+	for _, l := range h.ordered {
+		if l.role == wire.RoleAgent && l.id.Name == id.Name && l.id != id {
 			l.up = false
 			h.lose(l)
 			h.assign(l, "")
--- /dev/null
+++ b/home/rules_test.go
@@ -0,0 +1,64 @@
+package home_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/beaconpoint/beaconpoint/guard"
+	"github.com/beaconpoint/beaconpoint/home"
+	"github.com/beaconpoint/beaconpoint/testutil/world"
+)
+
+// mostHistories is how many histories are told at most until a fault is found.
+const mostHistories = 6000
+
+// history is one drawn configuration and story.
+type history struct {
+	cfg   world.Config
+	story []step
+}
+
+var histories = rapid.Custom(func(t *rapid.T) history {
+	return history{cfg: drawConfig(t, 0), story: drawStory(t)}
+})
+
+// TestEachRuleIsNeeded takes each rule out in turn; the histories must then find
+// a promise broken. A rule whose absence no history notices proves nothing.
+func TestEachRuleIsNeeded(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		home  home.Rules
+		guard guard.Rules
+	}{
+		{name: "home-standing", home: home.Rules{SkipStanding: true}},
+		{name: "home-hand-over", home: home.Rules{SkipHandOver: true}},
+		{name: "home-collect", home: home.Rules{SkipCollect: true}},
+		{name: "home-lapse", home: home.Rules{SkipLapse: true}},
+		{name: "home-doubt", home: home.Rules{SkipDoubt: true}},
+		{name: "home-lost-fails", home: home.Rules{SkipLostFail: true}},
+		{name: "home-refusal-seq", home: home.Rules{SkipSeq: true}},
+		{name: "home-revision", home: home.Rules{SkipRevision: true}},
+		{name: "guard-standing", guard: guard.Rules{SkipStanding: true}},
+		{name: "guard-seat", guard: guard.Rules{SkipSeat: true}},
+		{name: "guard-order", guard: guard.Rules{SkipOrder: true}},
+		{name: "guard-records", guard: guard.Rules{SkipRecords: true}},
+		{name: "guard-revision", guard: guard.Rules{SkipRevision: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			found := 0
+			for k := range mostHistories {
+				h := histories.Example(k)
+				h.cfg.HomeRules, h.cfg.GuardRules = c.home, c.guard
+				if _, err := tell(h.cfg, h.story); err != nil {
+					t.Logf("history %d: %v", k, err)
+					found++
+					break
+				}
+			}
+			assert.Assert(t, found > 0, "no history notices that the rule is gone")
+		})
+	}
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint"
@@ -201,7 +203,8 @@
 
 // expireForwards gives up on homes that have not answered in time.
 func (h *Home) expireForwards() {
-	for t, f := range h.forwards {
+	for _, t := range slices.Sorted(maps.Keys(h.forwards)) {
+		f := h.forwards[t]
 		if h.now.Mono < f.until {
 			continue
 		}
@@ -214,7 +217,8 @@
 
 // reroute sends those forwards on whose home has changed.
 func (h *Home) reroute() {
-	for t, f := range h.forwards {
+	for _, t := range slices.Sorted(maps.Keys(h.forwards)) {
+		f := h.forwards[t]
 		home := h.view.Home(f.sub.Job.ID)
 		if home == f.to || (f.pointed && h.view.HasSeat(f.to)) {
 			continue
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -332,9 +333,9 @@
 // handOver tells a seat of the jobs that it is home to and that are kept here.
 func (h *Home) handOver(l *link) {
 	m := wire.HandOver{Revision: h.view.Revision, Settled: h.take.ever}
-	for id, r := range h.records {
+	for _, id := range slices.Sorted(maps.Keys(h.records)) {
 		if h.view.Home(id) == l.id {
-			m.Moved = append(m.Moved, wire.Moved{Job: id, Expiry: r.expiry})
+			m.Moved = append(m.Moved, wire.Moved{Job: id, Expiry: h.records[id].expiry})
 		}
 	}
 	for _, d := range h.take.doubts {
--- a/home/tick.go
+++ b/home/tick.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint"
@@ -26,7 +28,7 @@
 	}
 	h.settle()
 	h.retryPending()
-	for name := range h.services {
+	for _, name := range slices.Sorted(maps.Keys(h.services)) {
 		h.pump(name)
 	}
 	h.propose()
@@ -50,7 +52,7 @@
 // tickLinks sends heartbeats where nothing else told the peer or this home
 // anything, asks after old starts and gives up on lost agents.
 func (h *Home) tickLinks() {
-	for _, l := range h.links {
+	for _, l := range h.ordered {
 		if l.up && h.beatDue(l) {
 			h.beat(l)
 		}
@@ -60,14 +62,31 @@
 		if !l.up && len(l.starts) > 0 && h.now.Mono-l.changedAt > h.cfg.AgentLost {
 			h.lose(l)
 		}
-		for key, s := range l.starts {
-			if l.up && h.now.Mono-s.asked >= askAgain {
-				h.askAfter(l, key, s)
-			}
+		if l.up {
+			h.askOverdue(l)
 		}
 	}
 }
 
+// askOverdue asks after the starts that were not answered for long.
+func (h *Home) askOverdue(l *link) {
+	overdue := make(map[wire.TaskKey]*start)
+	for key, s := range l.starts {
+		if h.now.Mono-s.asked >= askAgain {
+			overdue[key] = s
+		}
+	}
+	for _, key := range sortedTasks(overdue) {
+		h.askAfter(l, key, overdue[key])
+	}
+}
+
+// sortedTasks returns the keys in a fixed order, so that the same events always
+// have the same effects.
+func sortedTasks[V any](m map[wire.TaskKey]V) []wire.TaskKey {
+	return slices.SortedFunc(maps.Keys(m), wire.TaskKey.Compare)
+}
+
 func (h *Home) beatDue(l *link) bool {
 	interval := h.cfg.Heartbeat
 	if l.role == wire.RoleAgent {
@@ -91,10 +110,15 @@
 // records can't matter any more.
 func (h *Home) expireJobs() {
 	present := h.now.Wall.UnixMilli() / expiryGrain
-	for slot, records := range h.expiries {
-		if slot > present {
-			continue
+	var due []int64
+	for slot := range h.expiries {
+		if slot <= present {
+			due = append(due, slot)
 		}
+	}
+	slices.Sort(due)
+	for _, slot := range due {
+		records := h.expiries[slot]
 		delete(h.expiries, slot)
 		for _, r := range records {
 			h.expire(r)
@@ -125,13 +149,15 @@
 	}
 	h.tidyAt = h.now.Mono + time.Second
 	h.take.forget(h.now.Wall.Add(-h.cfg.Skew).UnixMilli())
-	for id, l := range h.links {
+	h.ordered = slices.DeleteFunc(h.ordered, func(l *link) bool {
 		stale := !l.up && len(l.starts) == 0 && h.now.Mono-l.changedAt > h.cfg.AgentGone
-		if stale && !h.view.HasAgent(id) && !h.view.HasSeat(id) {
-			h.assign(l, "")
-			delete(h.links, id)
+		if !stale || h.view.HasAgent(l.id) || h.view.HasSeat(l.id) {
+			return false
 		}
-	}
+		h.assign(l, "")
+		delete(h.links, l.id)
+		return true
+	})
 	for id := range h.adoptedAt {
 		if !h.view.HasSeat(id) {
 			delete(h.adoptedAt, id)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,8 +4,10 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +34,14 @@
 	return i.Name + "#" + strconv.FormatUint(i.Incarnation, 36)
 }
 
+// Compare orders ids by name and incarnation.
+func (i ID) Compare(o ID) int {
+	if c := strings.Compare(i.Name, o.Name); c != 0 {
+		return c
+	}
+	return cmp.Compare(i.Incarnation, o.Incarnation)
+}
+
 // IsZero reports whether i names nobody.
 func (i ID) IsZero() bool {
 	return i.Name == ""
--- /dev/null
+++ b/testutil/world/act.go
@@ -0,0 +1,270 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/beaconpoint/beaconpoint"
+	"github.com/beaconpoint/beaconpoint/job"
+	"github.com/beaconpoint/beaconpoint/wire"
+)
+
+// Act is a kind of step in a history.
+type Act int
+
+// Acts. Submissions come most often.
+const (
+	Submit Act = iota
+	Resubmit
+	Wait
+	Kill
+	KillTwo
+	Restart
+	Pause
+	Resume
+	Cut
+	Mend
+	Isolate
+	Split
+	CutEntries
+	Outage
+	StoreBack
+	StoreSlow
+	LoseAnswers
+	Leave
+	Acts // how many there are
+)
+
+// String returns the act's name, as counterexamples show it.
+func (a Act) String() string {
+	return [...]string{"submit", "resubmit", "wait", "kill", "kill-two", "restart", "pause", "resume", "cut",
+		"mend", "isolate", "split", "cut-entries", "outage", "store-back", "store-slow", "lose-answers", "leave"}[a]
+}
+
+// Do performs an act; k chooses whom and what it is about.
+func (w *World) Do(a Act, k int) {
+	p := w.procs[k%len(w.procs)]
+	o := w.procs[(k/len(w.procs))%len(w.procs)]
+	switch a {
+	case Submit:
+		w.submit(fmt.Sprintf("job%d", len(w.jobs)), k)
+	case Resubmit:
+		w.resubmit(k)
+	case Wait:
+		w.Run(time.Duration(k%4000) * time.Millisecond)
+	case Kill:
+		w.kill(p)
+	case KillTwo:
+		w.kill(p)
+		w.kill(o)
+	case Restart:
+		if !p.alive {
+			w.begin(p)
+		}
+	case Pause:
+		p.paused = p.alive
+	case Resume:
+		w.resume(p)
+	case Cut:
+		w.cut(p, o)
+	case Mend:
+		w.mendAll()
+	case Isolate:
+		for _, other := range w.procs {
+			w.cut(p, other)
+		}
+	case Split:
+		w.split(k)
+	case CutEntries:
+		entries := w.entries()
+		if n := len(entries); n > 1 {
+			w.cut(entries[k%n], entries[(k+1+k/n%(n-1))%n])
+		}
+	default:
+		w.doStore(a, p)
+	}
+}
+
+// split cuts those processes off from the others, and perhaps from the store,
+// whose bit is set in k.
+func (w *World) split(k int) {
+	inside := func(n int) bool { return k>>n&1 == 1 }
+	for n, p := range w.procs {
+		if inside(n) && k>>len(w.procs)&1 == 1 {
+			p.noStore = true
+		}
+		for m, o := range w.procs {
+			if inside(n) && !inside(m) {
+				w.cut(p, o)
+			}
+		}
+	}
+}
+
+func (w *World) doStore(a Act, p *process) {
+	switch a {
+	case Outage:
+		w.store.outage = true
+	case StoreBack:
+		w.store = store{roster: w.store.roster}
+	case StoreSlow:
+		w.store.slow = 2 * time.Second
+	case LoseAnswers:
+		w.store.lose = true
+	case Leave:
+		w.leave(p)
+	}
+}
+
+func (w *World) leave(p *process) {
+	if !p.alive || p.paused {
+		return
+	}
+	p.leaving = true
+	if p.guard != nil {
+		w.applyGuard(p, 0, p.guard.Leave(w.moment(p)))
+		return
+	}
+	w.apply(p, p.home.Leave(w.moment(p)))
+}
+
+// Calm ends every failure and makes the network perfect.
+func (w *World) Calm() {
+	w.calm = true
+	w.store = store{roster: w.store.roster}
+	w.mendAll()
+	for _, p := range w.procs {
+		w.resume(p)
+		switch {
+		case !p.alive:
+			w.begin(p)
+		case p.leaving && p.guard != nil:
+			w.after(leaveTime, func() {
+				w.kill(p)
+				w.begin(p)
+			})
+		}
+	}
+}
+
+// leaveTime is more than an agent needs to finish what it has accepted.
+const leaveTime = 5 * time.Second
+
+// CheckEnded checks, some time after Calm, that every caller has an answer and
+// that every entry speaks for its jobs again.
+func (w *World) CheckEnded() {
+	for t, a := range w.tickets {
+		if !a.done {
+			w.fail("the caller of %s (ticket %d at %s) has no answer", a.job, t, a.entry)
+		}
+	}
+	for _, p := range w.procs {
+		if p.home != nil && !p.leaving && (!p.home.Standing(w.moment(p)) || !p.home.Settled()) {
+			w.fail("%s speaks for no jobs: standing %v, settled %v, roster %+v",
+				p.id, p.home.Standing(w.moment(p)), p.home.Settled(), p.home.Roster())
+		}
+	}
+}
+
+func (w *World) submit(id string, k int) {
+	expiry := w.base.Add(w.now + jobLife)
+	j := beaconpoint.Job{ID: id, Member: member, ExpiresAt: &expiry}
+	for i := range 1 + k%4 {
+		j.Tasks = append(j.Tasks, beaconpoint.Task{ID: fmt.Sprint(i)})
+	}
+	sub, err := job.New(service, j)
+	if err != nil {
+		panic(err) // the jobs made here are well-formed
+	}
+	w.jobs[id] = &jobState{sub: sub, starts: make(map[int]int), first: w.now}
+	w.ask(id, k)
+}
+
+// resubmit hands in a job again through any entry, while it has not expired.
+func (w *World) resubmit(k int) {
+	if len(w.jobs) == 0 {
+		return
+	}
+	id := fmt.Sprintf("job%d", k%len(w.jobs))
+	w.ask(id, k/len(w.jobs))
+}
+
+func (w *World) ask(id string, k int) {
+	entries := w.entries()
+	if len(entries) == 0 {
+		return
+	}
+	p := entries[k%len(entries)]
+	w.ticket++
+	t := w.ticket
+	sub := w.jobs[id].sub
+	w.tickets[t] = &asked{job: id, entry: p.name, sub: sub}
+	life := p.id
+	w.handle(p, life, func() { w.apply(p, p.home.Submit(w.moment(p), t, sub)) })
+}
+
+// entries returns the live entries.
+func (w *World) entries() []*process {
+	return slices.DeleteFunc(slices.Clone(w.procs), func(p *process) bool {
+		return p.role != wire.RoleEntry || !p.alive
+	})
+}
+
+func (w *World) kill(p *process) {
+	if !p.alive {
+		return
+	}
+	p.alive, p.paused, p.inbox = false, false, nil
+	for _, o := range w.procs {
+		if o != p && o.alive {
+			w.disconnect(p, o)
+		}
+	}
+	for _, a := range w.tickets {
+		if a.entry == p.name && p.role == wire.RoleEntry {
+			a.done = true // its caller's connection is gone
+		}
+	}
+}
+
+func (w *World) resume(p *process) {
+	if !p.paused {
+		return
+	}
+	p.paused = false
+	waiting := p.inbox
+	p.inbox = nil
+	id := p.id
+	for _, do := range waiting {
+		if p.id == id && p.alive {
+			do()
+		}
+	}
+}
+
+func (w *World) cut(a, b *process) {
+	k := pairOf(a.name, b.name)
+	if a == b || w.cuts[k] || (a.home == nil && b.home == nil) {
+		return
+	}
+	w.cuts[k] = true
+	if w.rng.IntN(2) == 0 {
+		w.disconnect(a, b)
+	}
+}
+
+func (w *World) mendAll() {
+	for _, a := range w.procs {
+		a.noStore = false
+		for _, b := range w.procs {
+			k := pairOf(a.name, b.name)
+			if a.name < b.name && w.cuts[k] {
+				delete(w.cuts, k)
+				if a.alive && b.alive {
+					w.connect(a, b)
+				}
+			}
+		}
+	}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/beaconpoint/beaconpoint"
 	"github.com/beaconpoint/beaconpoint/code"
@@ -138,6 +139,14 @@
 	return fmt.Sprintf("%s/%d", k.Job, k.Index)
 }
 
+// Compare orders keys by job and index.
+func (k TaskKey) Compare(o TaskKey) int {
+	if c := strings.Compare(k.Job, o.Job); c != 0 {
+		return c
+	}
+	return k.Index - o.Index
+}
+
 // Start asks an agent to start a task. An agent that holds a record of the
 // task starts nothing and answers from the record.
 type Start struct {
