An entry joins only where it can serve

Cause: an entry that was cut off from the others but not from the store took a seat again at once; nobody could confirm it, so the whole region stopped until it was removed, again and again (seen in a history of two entries). Change: it waits for connections to the seats and to half of the agents, within bounds; without a seat it dials every seat, since the others don't know of it. Windows around a takeover and refusals for short queues make the histories sharper.

--- a/entry/links.go
+++ b/entry/links.go
@@ -29,6 +29,7 @@
 
 // dial keeps a connection to every agent of the configuration and to every
 // seat of the roster whose name comes after this entry's; the others dial it.
+// An entry without a seat dials all, since they don't know of it.
 func (e *Entry) dial(ctx context.Context) error {
 	attempts := make(map[string]*attempt)
 	ended := make(chan string, 64)
@@ -91,7 +92,7 @@
 		}
 	}
 	for _, s := range e.home.Roster().Seats {
-		if e.conns[s.ID] == nil && e.self.Name < s.ID.Name {
+		if e.conns[s.ID] == nil && (e.self.Name < s.ID.Name || !e.home.Seated()) {
 			wanted[s.Addr] = true
 		}
 	}
--- a/home/change.go
+++ b/home/change.go
@@ -17,6 +17,10 @@
 	changeStagger = 150 * time.Millisecond
 	// readAgain is after how long a failed read is tried again.
 	readAgain = 300 * time.Millisecond
+	// joinWithoutSeats and joinWithoutAgents are how many times the suspicion
+	// time a home waits for connections before it takes a seat without them.
+	joinWithoutSeats  = 2
+	joinWithoutAgents = 10
 )
 
 // proposal is a swap of the roster whose outcome is not known yet.
@@ -67,7 +71,10 @@
 		h.readAfter = now.Mono + readAgain
 		return h.drain()
 	}
-	h.haveRead = true
+	if !h.haveRead {
+		h.haveRead = true
+		h.readAt = now.Mono
+	}
 	h.adopt(r)
 	h.settle()
 	return h.drain()
@@ -160,7 +167,7 @@
 func (h *Home) wanted() roster.Roster {
 	r := h.view.Roster
 	switch {
-	case !h.Seated() && !h.leaving:
+	case !h.Seated() && !h.leaving && h.mayJoin():
 		r = r.WithSeat(roster.Seat{ID: h.cfg.Self, Addr: h.cfg.Addr}, h.now.Wall)
 	case !h.Seated():
 	default:
@@ -231,16 +238,36 @@
 	return h.now.Mono-heard > h.cfg.Suspect
 }
 
+// mayJoin reports whether a seat for this home would do good: one that the
+// other seats can't confirm holds them all up until they have removed it. It
+// waits for connections to them and to the agents, but not for ever, since they
+// may all be gone.
+func (h *Home) mayJoin() bool {
+	waited := h.now.Mono - h.readAt
+	if !h.reachesAgents() && waited < joinWithoutAgents*h.cfg.Suspect {
+		return false
+	}
+	apart := slices.ContainsFunc(h.view.Seats, func(s roster.Seat) bool {
+		return s.ID.Name != h.cfg.Self.Name && h.peer(s.ID) == nil
+	})
+	return !apart || waited >= joinWithoutSeats*h.cfg.Suspect
+}
+
 // reachesAgents reports whether this home is connected to at least half of the
-// registered agents: one that is cut off should not remove the others.
+// registered agents, in any of their lives: one that is cut off should not
+// remove the others.
 func (h *Home) reachesAgents() bool {
-	up := 0
+	up := make(map[string]bool)
+	for _, l := range h.ordered {
+		up[l.id.Name] = up[l.id.Name] || (l.up && l.role == wire.RoleAgent)
+	}
+	reached := 0
 	for _, a := range h.view.Agents {
-		if h.peer(a) != nil {
-			up++
+		if up[a.Name] {
+			reached++
 		}
 	}
-	return 2*up >= len(h.view.Agents)
+	return 2*reached >= len(h.view.Agents)
 }
 
 // wantedAgents registers the connected agents of configured targets, and takes
--- a/home/home.go
+++ b/home/home.go
@@ -165,6 +165,7 @@
 	adoptedAt   map[roster.ID]time.Duration // since when a seat is expected
 	expiries    map[int64][]*record
 	wantSince   time.Duration
+	readAt      time.Duration // when the roster was first read
 	readAfter   time.Duration
 	gatherAt    time.Duration
 	tidyAt      time.Duration
--- a/home/protocol_test.go
+++ b/home/protocol_test.go
@@ -67,6 +67,46 @@
 	}), shortestStory, longestStory).Draw(t, "story")
 }
 
+// drawWindow makes a history of windows: something is cut off or paused, and
+// jobs come to all entries while the others are about to take over.
+func drawWindow(t *rapid.T) []step {
+	var story []step
+	who := rapid.IntRange(0, 999)
+	for range rapid.IntRange(1, 4).Draw(t, "windows") {
+		for range rapid.IntRange(1, 2).Draw(t, "disturbances") {
+			story = append(story, step{
+				Act:  rapid.SampledFrom(disturbances).Draw(t, "act"),
+				Who:  who.Draw(t, "who"),
+				Wait: rapid.SampledFrom(delays).Draw(t, "wait"),
+			})
+		}
+		for range rapid.IntRange(2, 12).Draw(t, "calls") {
+			story = append(story, step{
+				Act:  rapid.SampledFrom([]world.Act{world.Submit, world.Resubmit, world.ResubmitLast}).Draw(t, "call"),
+				Who:  who.Draw(t, "who"),
+				Wait: rapid.IntRange(0, 120).Draw(t, "wait"),
+			})
+		}
+		story = append(story, step{Act: rapid.SampledFrom(recoveries).Draw(t, "recovery"), Who: who.Draw(t, "who")})
+	}
+	return story
+}
+
+var (
+	disturbances = []world.Act{world.IsolateEntry, world.PauseEntry, world.CutEntries, world.Split, world.Kill, world.IsolateEntry}
+	// delays lie around the suspicion of a silent seat and the end of a lease.
+	delays     = []int{0, 100, 900, 1300, 1500, 1700, 1900, 2100, 2400, 2700, 3200}
+	recoveries = []world.Act{world.Mend, world.Resume, world.Restart, world.Wait}
+)
+
+// drawHistory draws one of both kinds.
+func drawHistory(t *rapid.T) []step {
+	if rapid.Bool().Draw(t, "window") {
+		return drawWindow(t)
+	}
+	return drawStory(t)
+}
+
 func drawConfig(t *rapid.T, group int) world.Config {
 	return world.Config{
 		// Groups share the story's seed; the world's differs.
@@ -103,7 +143,7 @@
 			t.Parallel()
 			var sum world.Counts
 			rapid.Check(t, func(t *rapid.T) {
-				w, err := tell(drawConfig(t, g), drawStory(t))
+				w, err := tell(drawConfig(t, g), drawHistory(t))
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/home/rules_test.go
+++ b/home/rules_test.go
@@ -21,7 +21,7 @@
 }
 
 var histories = rapid.Custom(func(t *rapid.T) history {
-	return history{cfg: drawConfig(t, 0), story: drawStory(t)}
+	return history{cfg: drawConfig(t, 0), story: drawHistory(t)}
 })
 
 // TestEachRuleIsNeeded takes each rule out in turn; the histories must then find
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -223,7 +223,7 @@
 			return
 		}
 	}
-	complete := h.allCollected()
+	complete := h.allCollected() || h.rules.SkipCollect
 	if !complete && !h.agentsLapsed() {
 		return
 	}
@@ -248,9 +248,6 @@
 // agentsLapsed reports whether every agent that has handed over nothing can't
 // be acting at an earlier roster any more.
 func (h *Home) agentsLapsed() bool {
-	if h.rules.SkipCollect {
-		return true
-	}
 	return !slices.ContainsFunc(h.view.Agents, func(a roster.ID) bool {
 		return !h.take.collected[a] && !h.lapsed(a)
 	})
--- a/testutil/world/act.go
+++ b/testutil/world/act.go
@@ -17,6 +17,7 @@
 const (
 	Submit Act = iota
 	Resubmit
+	ResubmitLast
 	Wait
 	Kill
 	KillTwo
@@ -28,6 +29,8 @@
 	Isolate
 	Split
 	CutEntries
+	IsolateEntry
+	PauseEntry
 	Outage
 	StoreBack
 	StoreSlow
@@ -38,8 +41,8 @@
 
 // String returns the act's name, as counterexamples show it.
 func (a Act) String() string {
-	return [...]string{"submit", "resubmit", "wait", "kill", "kill-two", "restart", "pause", "resume", "cut",
-		"mend", "isolate", "split", "cut-entries", "outage", "store-back", "store-slow", "lose-answers", "leave"}[a]
+	return [...]string{"submit", "resubmit", "resubmit-last", "wait", "kill", "kill-two", "restart", "pause", "resume", "cut",
+		"mend", "isolate", "split", "cut-entries", "isolate-entry", "pause-entry", "outage", "store-back", "store-slow", "lose-answers", "leave"}[a]
 }
 
 // Do performs an act; k chooses whom and what it is about.
@@ -51,6 +54,10 @@
 		w.submit(fmt.Sprintf("job%d", len(w.jobs)), k)
 	case Resubmit:
 		w.resubmit(k)
+	case ResubmitLast:
+		if n := len(w.jobs); n > 0 {
+			w.ask(fmt.Sprintf("job%d", n-1), k)
+		}
 	case Wait:
 		w.Run(time.Duration(k%4000) * time.Millisecond)
 	case Kill:
@@ -81,11 +88,29 @@
 		if n := len(entries); n > 1 {
 			w.cut(entries[k%n], entries[(k+1+k/n%(n-1))%n])
 		}
+	case IsolateEntry, PauseEntry:
+		w.disturbEntry(a, k)
 	default:
 		w.doStore(a, p)
 	}
 }
 
+func (w *World) disturbEntry(a Act, k int) {
+	entries := w.entries()
+	if len(entries) == 0 {
+		return
+	}
+	p := entries[k%len(entries)]
+	if a == PauseEntry {
+		p.paused = true
+		return
+	}
+	p.noStore = k/len(entries)%2 == 0
+	for _, other := range w.procs {
+		w.cut(p, other)
+	}
+}
+
 // split cuts those processes off from the others, and perhaps from the store,
 // whose bit is set in k.
 func (w *World) split(k int) {
--- a/testutil/world/world.go
+++ b/testutil/world/world.go
@@ -30,6 +30,7 @@
 	skew       = 500 * time.Millisecond
 	service    = "trackd"
 	member     = "port-gate"
+	queue      = 4 // short, so that many jobs are refused as not run
 	jobLife    = 20 * time.Second
 	longest    = 30 * time.Second
 	commonWait = 3 * time.Millisecond
@@ -221,7 +222,7 @@
 }
 
 func (w *World) document() config.Document {
-	s := config.Service{Name: service, Bounds: config.Bounds{LongestExpiryMS: longest.Milliseconds()}}
+	s := config.Service{Name: service, Bounds: config.Bounds{LongestExpiryMS: longest.Milliseconds(), Queue: queue}}
 	for _, p := range w.procs {
 		if p.role == wire.RoleAgent {
 			s.Targets = append(s.Targets, config.Target{Name: p.name, Agent: p.name, Slots: 2, Connections: 8})
