--- a/entry/callers.go
+++ b/entry/callers.go
@@ -117,6 +117,7 @@
 	if err := json.Unmarshal(a.Results[0].Output, &out); err != nil {
 		return err
 	}
+	c.Response().Header().Set(HeaderCode, "0")
 	return c.Blob(http.StatusOK, echo.MIMEOctetStream, out)
 }
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -29,18 +29,20 @@
 
 // Status is what one entry tells of itself.
 type Status struct {
-	Seat     string     `json:"seat"`
-	Seated   bool       `json:"seated"`
-	Standing bool       `json:"standing"`
-	Settled  bool       `json:"settled"`
-	Roster   uint64     `json:"roster_revision"`
-	Config   uint64     `json:"config_revision"`
-	Seats    []string   `json:"seats"`
-	Agents   []string   `json:"agents"`
-	Waiting  int        `json:"tasks_waiting"`
-	Running  int        `json:"tasks_running"`
-	Calls    uint64     `json:"store_calls"`
-	Counts   home.Stats `json:"counts"`
+	Seat     string   `json:"seat"`
+	Seated   bool     `json:"seated"`
+	Standing bool     `json:"standing"`
+	Settled  bool     `json:"settled"`
+	Roster   uint64   `json:"roster_revision"`
+	Config   uint64   `json:"config_revision"`
+	Seats    []string `json:"seats"`
+	Agents   []string `json:"agents"`
+	Waiting  int      `json:"tasks_waiting"`
+	Running  int      `json:"tasks_running"`
+	// Open is how many agents take starts of this entry now.
+	Open   int        `json:"agents_open"`
+	Calls  uint64     `json:"store_calls"`
+	Counts home.Stats `json:"counts"`
 }
 
 // Problem is the answer to an operator's call that did not succeed.
@@ -110,6 +112,7 @@
 		Counts:   e.past.Plus(e.home.Stats()),
 	}
 	s.Waiting, s.Running = e.home.Waiting()
+	s.Open = e.home.OpenAgents(e.clock.Now())
 	for _, seat := range r.Seats {
 		s.Seats = append(s.Seats, seat.ID.String())
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -302,6 +302,18 @@
 	return waiting, running
 }
 
+// OpenAgents returns how many agents may get starts now.
+func (h *Home) OpenAgents(now clock.Moment) int {
+	h.now = now
+	n := 0
+	for _, l := range h.ordered {
+		if l.service != "" && h.open(l) {
+			n++
+		}
+	}
+	return n
+}
+
 // Drained reports whether a leaving home has nothing left to answer.
 func (h *Home) Drained() bool {
 	if len(h.pending) > 0 || len(h.forwards) > 0 {
--- a/job/submission.go
+++ b/job/submission.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return Submission{}, err
 	}
-	return New(service, j)
+	s, err := New(service, j)
+	if err != nil && ValidID(j.ID) {
+		s.Job.ID = j.ID // for the refusal
+	}
+	return s, err
 }
 
 // New checks the form of j and returns its submission.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -31,7 +31,7 @@
 // Target is the stand-in's handler.
 type Target struct {
 	mu      sync.Mutex
-	starts  map[string]int
+	jobs    map[string]*Started
 	running int
 	peak    int
 	slow    float64
@@ -39,7 +39,7 @@
 
 // NewTarget returns a target that has started nothing.
 func NewTarget() *Target {
-	return &Target{starts: make(map[string]int), slow: 1}
+	return &Target{jobs: make(map[string]*Started), slow: 1}
 }
 
 // SetSlowness makes every task run for factor times what it asks for.
@@ -53,13 +53,25 @@
 func (t *Target) Starts() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make(map[string]int, len(t.starts))
-	for k, n := range t.starts {
-		all[k] = n
+	all := make(map[string]int)
+	for job, s := range t.jobs {
+		for task, n := range s.Tasks {
+			all[job+"/"+task] = n
+		}
 	}
 	return all
 }
 
+// FirstStart returns when the job's first task was started here.
+func (t *Target) FirstStart(job string) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.jobs[job]; s != nil {
+		return s.First, true
+	}
+	return time.Time{}, false
+}
+
 // Peak returns the most tasks that ran at once.
 func (t *Target) Peak() int {
 	t.mu.Lock()
@@ -81,8 +93,8 @@
 }
 
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Job") + "/" + r.Header.Get("X-Task")
-	factor := t.begin(id)
+	job, task := r.Header.Get("X-Job"), r.Header.Get("X-Task")
+	factor := t.begin(job, task)
 	defer t.end()
 	raw, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -99,14 +111,19 @@
 	case work.Fail:
 		http.Error(w, "failed as asked", http.StatusInternalServerError)
 	default:
-		_ = json.NewEncoder(w).Encode(Output{Task: id, Echo: work.Echo}) // the caller sees a short body
+		_ = json.NewEncoder(w).Encode(Output{Task: job + "/" + task, Echo: work.Echo}) // the caller sees a short body
 	}
 }
 
-func (t *Target) begin(id string) float64 {
+func (t *Target) begin(job, task string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.starts[id]++
+	s := t.jobs[job]
+	if s == nil {
+		s = &Started{}
+		t.jobs[job] = s
+	}
+	s.note(task, time.Now())
 	t.running++
 	t.peak = max(t.peak, t.running)
 	return t.slow
--- /dev/null
+++ b/trials/path_test.go
@@ -0,0 +1,155 @@
+// Package trials runs the built binary's roles as separate processes and shows
+// what callers and operators see of them, in order and under failure.
+package trials
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/beaconpoint/beaconpoint"
+	"github.com/beaconpoint/beaconpoint/testutil/cluster"
+)
+
+func threeByThree() cluster.Config {
+	return cluster.Config{Entries: 3, Agents: 3, Slots: 8, Lease: 3 * time.Second}
+}
+
+func jobOf(id string, tasks, ms int) beaconpoint.Job {
+	j := beaconpoint.Job{ID: id, Member: cluster.Member}
+	for k := range tasks {
+		j.Tasks = append(j.Tasks, beaconpoint.Task{
+			ID:      fmt.Sprintf("t%d", k),
+			Payload: fmt.Appendf(nil, `{"ms":%d,"echo":"%s-%d"}`, ms, id, k),
+		})
+	}
+	return j
+}
+
+// assertWhole checks that a is the whole answer to j and to nothing else.
+func assertWhole(t testing.TB, j beaconpoint.Job, a beaconpoint.Answer) {
+	t.Helper()
+	assert.Equal(t, a.State, beaconpoint.Complete, "%+v", a)
+	assert.Equal(t, a.ID, j.ID)
+	assert.Equal(t, len(a.Results), len(j.Tasks))
+	for k, r := range a.Results {
+		assert.Equal(t, r.ID, j.Tasks[k].ID)
+		want := fmt.Sprintf(`{"task":"%s/t%d","echo":"%s-%d"}`, j.ID, k, j.ID, k)
+		assert.Equal(t, string(r.Output), want)
+	}
+}
+
+func TestJobsThroughAllEntriesAtOnce(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	var all sync.WaitGroup
+	answers := make([]beaconpoint.Answer, 60)
+	for k := range answers {
+		all.Go(func() {
+			// Each job goes in three times, through every entry.
+			j := jobOf(fmt.Sprintf("job-%d", k/3), 1+k/3, 20)
+			a, err := c.Client(k%3).Submit(context.Background(), cluster.Service, j)
+			assert.Check(t, err == nil, "%v", err)
+			answers[k] = a
+		})
+	}
+	all.Wait()
+	tasks := 0
+	for k, a := range answers {
+		assertWhole(t, jobOf(fmt.Sprintf("job-%d", k/3), 1+k/3, 20), a)
+		if k%3 == 0 {
+			tasks += 1 + k/3
+		}
+	}
+	doubled, starts := c.Doubled()
+	assert.Equal(t, len(doubled), 0, "%v", doubled)
+	assert.Equal(t, starts, tasks)
+}
+
+// call is one line of a golden session.
+type call struct {
+	name, method, path, body string
+	header                   map[string]string
+}
+
+func TestGoldenSession(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	jobs, requests := "/v1/services/trackd/jobs", "/v1/services/trackd/requests"
+	many := strings.Repeat(`{"id":"a"},`, 1200) + `{"id":"a"}`
+	var out bytes.Buffer
+	for _, s := range []call{
+		{"a job of two tasks", "POST", jobs, `{"id":"fix-1","member":"port-gate","tasks":[{"id":"a","payload":{"ms":5,"echo":"x"}},{"id":"b","payload":{"ms":1}}]}`, nil},
+		{"the same job again, with other white space", "POST", jobs, `{"id":"fix-1", "member":"port-gate", "tasks":[ {"id":"a","payload":{"ms":5, "echo":"x"}},{"id":"b","payload":{"ms":1}}]}`, nil},
+		{"the same id with other content", "POST", jobs, `{"id":"fix-1","member":"port-gate","tasks":[{"id":"a"}]}`, nil},
+		{"where the job stands", "GET", jobs + "/fix-1", "", nil},
+		{"a job that nobody knows", "GET", jobs + "/fix-9", "", nil},
+		{"a task that fails", "POST", jobs, `{"id":"fix-2","member":"port-gate","tasks":[{"id":"a","payload":{"fail":true}}]}`, nil},
+		{"broken JSON", "POST", jobs, `{"id":`, nil},
+		{"no tasks", "POST", jobs, `{"id":"fix-3","member":"port-gate","tasks":[]}`, nil},
+		{"1,201 tasks", "POST", jobs, `{"id":"fix-3","member":"port-gate","tasks":[` + many + `]}`, nil},
+		{"a doubled task", "POST", jobs, `{"id":"fix-3","member":"port-gate","tasks":[{"id":"a"},{"id":"a"}]}`, nil},
+		{"an unknown field", "POST", jobs, `{"id":"fix-3","member":"port-gate","task":[]}`, nil},
+		{"an oversize body", "POST", jobs, `{"id":"` + strings.Repeat("x", beaconpoint.MaxBody) + `"}`, nil},
+		{"an unknown service", "POST", "/v1/services/nothing/jobs", `{"id":"fix-3","member":"port-gate","tasks":[{"id":"a"}]}`, nil},
+		{"an unknown member", "POST", jobs, `{"id":"fix-3","member":"nobody","tasks":[{"id":"a"}]}`, nil},
+		{"an expiry in the past", "POST", jobs, `{"id":"fix-3","member":"port-gate","expires_at":"2020-01-01T00:00:00Z","tasks":[{"id":"a"}]}`, nil},
+		{"an expiry far away", "POST", jobs, `{"id":"fix-3","member":"port-gate","expires_at":"2099-01-01T00:00:00Z","tasks":[{"id":"a"}]}`, nil},
+		{"a single request", "POST", requests, "not json, handed on as it is", map[string]string{"X-Request-Id": "hold-1", "X-Member": "port-gate"}},
+		{"a request without an id", "POST", requests, "x", map[string]string{"X-Member": "port-gate"}},
+		{"a request that is perhaps repeatable", "POST", requests, "x", map[string]string{"X-Request-Id": "hold-2", "X-Member": "port-gate", "X-Repeatable": "perhaps"}},
+	} {
+		fmt.Fprintf(&out, "## %s\n%s %s\n%.200s\n", s.name, s.method, s.path, s.body)
+		out.WriteString(answerTo(t, c.URL(1), s))
+	}
+	golden.Assert(t, out.String(), "session.golden")
+	doubled, starts := c.Doubled()
+	assert.Equal(t, len(doubled), 0, "%v", doubled)
+	assert.Equal(t, starts, 4) // two of fix-1, one of fix-2, one of hold-1
+}
+
+func answerTo(t *testing.T, base string, s call) string {
+	t.Helper()
+	req, err := http.NewRequest(s.method, base+s.path, strings.NewReader(s.body))
+	assert.NilError(t, err)
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range s.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return fmt.Sprintf("-> %d, %s %q, %s %q, Retry-After %q\n%s\n\n", resp.StatusCode,
+		"X-Result-Code", resp.Header.Get("X-Result-Code"), "X-Ran", resp.Header.Get("X-Ran"), resp.Header.Get("Retry-After"),
+		strings.TrimSpace(string(body)))
+}
+
+func TestTargetThatDropsAConnectionGetsOneStart(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	j := beaconpoint.Job{ID: "drop", Member: cluster.Member, Tasks: []beaconpoint.Task{{ID: "a", Payload: json.RawMessage(`{"drop":true}`)}}}
+	a, err := c.Client(0).Submit(context.Background(), cluster.Service, j)
+	assert.NilError(t, err)
+	assert.Equal(t, a.State, beaconpoint.Failed)
+	assert.Equal(t, a.Name, "target-lost")
+	assert.Equal(t, a.Ran, beaconpoint.RanMaybe)
+	doubled, starts := c.Doubled()
+	assert.Equal(t, len(doubled), 0)
+	assert.Equal(t, starts, 1)
+}
+
+func TestBinaryIsLinkedToLibc(t *testing.T) {
+	out, err := exec.Command("ldd", cluster.Binary(t)).CombinedOutput()
+	assert.NilError(t, err, string(out))
+	assert.Assert(t, strings.Contains(string(out), "libc.so"), string(out))
+}
