One home for each share of a service, and hand-overs that hold back nothing

Change: a job's home is the home of its service's share (shards, 1 by default, in the roster), so one queue keeps the order, and an agent's slots belong to one home; no agent queue; fewest unstarted first.

Faults that the histories found once shares could move between living homes, each a task started twice: (1) what a home had inherited of a gone seat was not handed on when the share moved; (2) it was then handed on before it was whole; (3) what was gathered of a share that moved away meanwhile counted as whole; (4) a doubt covered the gone seat's own share only, not one that had passed through another. Ruled out: naming the lost seats in a doubt; it now names the holder and the shares before.

--- a/config/document.go
+++ b/config/document.go
@@ -51,7 +51,7 @@
 
 // Service is what callers submit jobs to.
 type Service struct {
-	Name    string   `json:"name" yaml:"name" validate:"required,max=128"`
+	Name    string   `json:"name" yaml:"name" validate:"required,max=128,excludesall=/ "`
 	Targets []Target `json:"targets" yaml:"targets" validate:"unique=Name,dive"`
 	Bounds  Bounds   `json:"bounds" yaml:"bounds"`
 }
@@ -81,7 +81,11 @@
 	Revision uint64    `json:"revision"`
 	Services []Service `json:"services" validate:"unique=Name,dive"`
 	Members  []Member  `json:"members" validate:"unique=Name,dive"`
-	History  []Line    `json:"history,omitempty"`
+	// Shards is how many shares each service's jobs are split into, each
+	// with a home of its own; none counts as one. One keeps the order of all
+	// jobs, more spread the work of a very large service.
+	Shards  int    `json:"shards,omitempty" validate:"min=0,max=64"`
+	History []Line `json:"history,omitempty"`
 }
 
 // Service returns the service called name.
--- a/config/plan.go
+++ b/config/plan.go
@@ -19,6 +19,9 @@
 	Members        []Member  `json:"members,omitempty" yaml:"members,omitempty"`
 	RemoveServices []string  `json:"remove_services,omitempty" yaml:"remove_services,omitempty"`
 	RemoveMembers  []string  `json:"remove_members,omitempty" yaml:"remove_members,omitempty"`
+	// Shards, where above zero, sets how many shares each service's jobs
+	// are split into.
+	Shards int `json:"shards,omitempty" yaml:"shards,omitempty"`
 	// Drain and Undrain name targets.
 	Drain   []string `json:"drain,omitempty" yaml:"drain,omitempty"`
 	Undrain []string `json:"undrain,omitempty" yaml:"undrain,omitempty"`
@@ -131,6 +134,9 @@
 			return Document{}, err
 		}
 	}
+	if in.Shards != 0 {
+		d.Shards = in.Shards
+	}
 	if err := d.Validate(); err != nil {
 		return Document{}, code.Errorf(code.BadIntent, "%v", err)
 	}
@@ -175,7 +181,11 @@
 // Diff tells what differs between two documents, one line each.
 func Diff(from, to Document) []string {
 	lines := diff("service", from.Services, to.Services, serviceName)
-	return append(lines, diff("member", from.Members, to.Members, memberName)...)
+	lines = append(lines, diff("member", from.Members, to.Members, memberName)...)
+	if from.Shards != to.Shards {
+		lines = append(lines, fmt.Sprintf("~ shards %d -> %d", from.Shards, to.Shards))
+	}
+	return lines
 }
 
 func diff[T any](kind string, from, to []T, name func(T) string) []string {
--- /dev/null
+++ b/experiment/fleet.go
@@ -0,0 +1,252 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/clock"
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/config"
+	"github.com/beaconpoint/beaconpoint/dispatch"
+	"github.com/beaconpoint/beaconpoint/guard"
+	"github.com/beaconpoint/beaconpoint/home"
+	"github.com/beaconpoint/beaconpoint/job"
+	"github.com/beaconpoint/beaconpoint/roster"
+	"github.com/beaconpoint/beaconpoint/vtime"
+	"github.com/beaconpoint/beaconpoint/wire"
+)
+
+// Times of a fleet.
+const (
+	homeTick = 20 * time.Millisecond
+	warmUp   = 8 * time.Second
+	patience = 10 * time.Minute
+	lease    = 3 * time.Second
+)
+
+// Fleet is entries and agents, run in virtual time by the real state machines.
+type Fleet struct {
+	Name                  string
+	Homes, Workers, Slots int
+	// AgentQueue is how many accepted tasks may wait at an agent.
+	AgentQueue int
+	// Delay is one way between two processes.
+	Delay  time.Duration
+	Policy dispatch.Policy
+	// Slow is how many times longer tasks run on the first worker; zero or
+	// one for the common pace.
+	Slow float64
+	// LoseAt is when the last worker dies; zero for never.
+	LoseAt time.Duration
+}
+
+// run is one run of a fleet.
+type run struct {
+	fleet  Fleet
+	q      *vtime.Queue
+	base   time.Time
+	homes  []*home.Home
+	guards []*guard.Guard
+	ids    []roster.ID // of the homes, then of the guards
+	place  map[roster.ID]int
+	roster roster.Roster
+	jobs   map[string]*work
+	asked  map[uint64]*work
+	result *Result
+	tenth  int
+	left   int
+	lost   map[int]bool
+}
+
+// Run runs the workload through the fleet.
+func (f Fleet) Run(w Workload) *Result {
+	r := &run{
+		fleet:  f,
+		q:      vtime.NewQueue(time.Second),
+		base:   time.Unix(1_700_000_000, 0),
+		place:  make(map[roster.ID]int),
+		jobs:   make(map[string]*work),
+		asked:  make(map[uint64]*work),
+		result: newResult(f.Name),
+		tenth:  w.largestTenth(),
+		lost:   make(map[int]bool),
+	}
+	r.build()
+	r.q.Run(warmUp, r.never)
+	all := w.generate()
+	r.left = len(all)
+	for k, j := range all {
+		r.jobs[j.id] = j
+		r.q.After(j.at, func() { r.submit(uint64(k+1), j) })
+	}
+	if f.LoseAt > 0 {
+		r.q.After(f.LoseAt, func() { r.lose(f.Homes + f.Workers - 1) })
+	}
+	r.q.Run(warmUp+all[len(all)-1].at+patience, func() bool { return r.left == 0 })
+	r.result.Unanswered = r.left
+	r.count()
+	return r.result
+}
+
+func (r *run) never() bool { return false }
+
+func (r *run) moment() clock.Moment {
+	return clock.Moment{Mono: r.q.Now(), Wall: r.base.Add(r.q.Now())}
+}
+
+func (r *run) build() {
+	for k := range r.fleet.Homes {
+		id := roster.NewID(fmt.Sprintf("entry%d", k), 1)
+		c := home.DefaultConfig(id, id.Name)
+		c.Lease = lease
+		r.homes = append(r.homes, home.NewHome(c, home.WithPolicy(r.fleet.Policy)))
+		r.add(id)
+	}
+	for k := range r.fleet.Workers {
+		id := roster.NewID(fmt.Sprintf("worker%02d", k), 1)
+		r.guards = append(r.guards, guard.NewGuard(guard.Config{
+			Self: id, Lease: lease, Queue: r.fleet.AgentQueue, OutputBytes: 1 << 20,
+		}))
+		r.add(id)
+	}
+	for k, h := range r.homes {
+		r.apply(k, h.Configure(r.moment(), r.document()))
+		for n, id := range r.ids {
+			if n != k {
+				r.apply(k, h.LinkUp(r.moment(), id, r.role(n)))
+			}
+		}
+		r.tick(k)
+	}
+	for k, g := range r.guards {
+		r.tickGuard(k, g)
+	}
+}
+
+func (r *run) add(id roster.ID) {
+	r.place[id] = len(r.ids)
+	r.ids = append(r.ids, id)
+}
+
+func (r *run) role(n int) wire.Role {
+	if n < r.fleet.Homes {
+		return wire.RoleEntry
+	}
+	return wire.RoleAgent
+}
+
+func (r *run) document() config.Document {
+	s := config.Service{Name: service, Bounds: config.Bounds{Queue: 10_000_000, LongestExpiryMS: patience.Milliseconds()}}
+	for k := range r.fleet.Workers {
+		s.Targets = append(s.Targets, config.Target{
+			Name: fmt.Sprintf("worker%02d", k), Agent: "fake", Slots: r.fleet.Slots, Connections: 64,
+		})
+	}
+	return config.Document{Revision: 1, Services: []config.Service{s}, Members: []config.Member{{Name: member}}}
+}
+
+func (r *run) tick(k int) {
+	r.q.After(homeTick, func() {
+		r.apply(k, r.homes[k].Tick(r.moment()))
+		r.tick(k)
+	})
+}
+
+func (r *run) tickGuard(k int, g *guard.Guard) {
+	r.q.After(time.Second, func() {
+		r.applyGuard(k, g.Tick(r.moment()))
+		r.tickGuard(k, g)
+	})
+}
+
+func (r *run) submit(ticket uint64, j *work) {
+	k := int(ticket) % r.fleet.Homes
+	r.asked[ticket] = j
+	r.apply(k, r.homes[k].Submit(r.moment(), ticket, j.sub))
+}
+
+// apply carries out a home's effects; the store answers at once.
+func (r *run) apply(k int, out home.Effects) {
+	for _, s := range out.Sends {
+		r.send(r.ids[k], s.To, s.Frame)
+	}
+	for _, a := range out.Answers {
+		j := r.asked[a.Ticket]
+		r.left--
+		r.result.note(j, r.q.Now()-warmUp-j.at, r.tenth)
+	}
+	if out.Swap != nil {
+		s := *out.Swap
+		r.q.After(r.fleet.Delay, func() { r.swap(k, s) })
+	}
+	if out.Read {
+		r.q.After(r.fleet.Delay, func() { r.apply(k, r.homes[k].RosterRead(r.moment(), r.roster, nil)) })
+	}
+}
+
+func (r *run) swap(k int, s home.Swap) {
+	outcome := home.Conflicted
+	if r.roster.Revision == s.Base {
+		r.roster = s.Next
+		outcome = home.Swapped
+	}
+	r.apply(k, r.homes[k].SwapEnded(r.moment(), s.Change, outcome))
+}
+
+func (r *run) send(from, to roster.ID, f wire.Frame) {
+	n := r.place[to]
+	switch f.Body.(type) {
+	case wire.Heartbeat, wire.AgentHeartbeat, wire.Roster, wire.Config, wire.Target:
+		r.result.Control++
+	}
+	r.q.After(r.fleet.Delay, func() {
+		if r.lost[n] || r.lost[r.place[from]] {
+			return
+		}
+		if n < r.fleet.Homes {
+			r.apply(n, r.homes[n].Receive(r.moment(), from, f))
+			return
+		}
+		g := n - r.fleet.Homes
+		r.applyGuard(g, r.guards[g].Receive(r.moment(), from, f))
+	})
+}
+
+func (r *run) applyGuard(k int, out guard.Effects) {
+	for _, s := range out.Sends {
+		r.send(r.ids[r.fleet.Homes+k], s.To, s.Frame)
+	}
+	for _, s := range out.Runs {
+		r.perform(k, s.Start)
+	}
+}
+
+func (r *run) perform(k int, s wire.Start) {
+	r.result.Starts++
+	took := r.jobs[job.IDOf(s.Key.Job)].tasks[s.Key.Index]
+	if k == 0 && r.fleet.Slow > 1 {
+		took = time.Duration(float64(took) * r.fleet.Slow)
+	}
+	r.q.After(took, func() {
+		if !r.lost[r.fleet.Homes+k] {
+			r.applyGuard(k, r.guards[k].Ended(r.moment(), s.Key, wire.Done, code.OK, nil))
+		}
+	})
+}
+
+// lose lets a worker die: its connections break and nothing more comes of it.
+func (r *run) lose(n int) {
+	r.lost[n] = true
+	for k, h := range r.homes {
+		r.apply(k, h.LinkDown(r.moment(), r.ids[n]))
+	}
+}
+
+// count sums up the messages that led to nothing: a refused start and its
+// refusal, and what was sent again or came too late.
+func (r *run) count() {
+	for _, h := range r.homes {
+		s := h.Stats()
+		r.result.Wasted += int(2*s.Refusals + s.Resends + s.LateResults)
+	}
+}
--- /dev/null
+++ b/experiment/suite.go
@@ -0,0 +1,115 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/dispatch"
+)
+
+// Sizes of today, for each of the two users.
+const (
+	entries   = 3
+	workers   = 11
+	slots     = 8
+	oneWay    = 500 * time.Microsecond
+	largeJob  = 200
+	agentRoom = 0
+)
+
+// System is what a workload is run through.
+type System struct {
+	Name string
+	Run  func(Workload) *Result
+}
+
+// Systems returns the system in service and the baselines.
+func Systems() []System {
+	random := rand.New(rand.NewPCG(5, 5))
+	ours := Fleet{Name: "beaconpoint", Homes: entries, Workers: workers, Slots: slots,
+		AgentQueue: agentRoom, Delay: oneWay, Policy: dispatch.DefaultPolicy()}
+	knowing := Fleet{Name: "all-knowing, fewest unstarted", Homes: 1, Workers: workers, Slots: slots,
+		Policy: dispatch.Policy{Order: dispatch.FewestUnstarted, Choose: dispatch.LeastLoaded}}
+	firstCome := knowing
+	firstCome.Name, firstCome.Policy.Order = "all-knowing, first come", dispatch.FirstCome
+	atRandom := Fleet{Name: "random, agent queue", Homes: entries, Workers: workers, Slots: slots, AgentQueue: 1_000_000,
+		Delay: oneWay, Policy: dispatch.Policy{Order: dispatch.FirstCome, Choose: func(all []dispatch.Candidate) int {
+			if len(all) == 0 {
+				return -1
+			}
+			return random.IntN(len(all))
+		}}}
+	sampling := Sampling{Name: "sampling, late binding", Workers: workers, Slots: slots, Probes: 2, Delay: oneWay}
+	return []System{
+		{ours.Name, ours.Run}, {knowing.Name, knowing.Run}, {firstCome.Name, firstCome.Run},
+		{sampling.Name, sampling.Run}, {atRandom.Name, atRandom.Run},
+	}
+}
+
+// Troubles returns the system in service under trouble, and the all-knowing
+// queue under the same.
+func Troubles(span time.Duration) []System {
+	var all []System
+	for _, s := range []struct {
+		name string
+		with func(*Fleet)
+	}{
+		{"a worker at half speed", func(f *Fleet) { f.Slow = 2 }},
+		{"a worker lost", func(f *Fleet) { f.LoseAt = span / 2 }},
+	} {
+		ours := Fleet{Name: "beaconpoint, " + s.name, Homes: entries, Workers: workers, Slots: slots,
+			AgentQueue: agentRoom, Delay: oneWay, Policy: dispatch.DefaultPolicy()}
+		knowing := Fleet{Name: "all-knowing, " + s.name, Homes: 1, Workers: workers, Slots: slots,
+			Policy: dispatch.Policy{Order: dispatch.FewestUnstarted, Choose: dispatch.LeastLoaded}}
+		s.with(&ours)
+		s.with(&knowing)
+		all = append(all, System{ours.Name, ours.Run}, System{knowing.Name, knowing.Run})
+	}
+	return all
+}
+
+// Row is a result at one load.
+type Row struct {
+	Load float64
+	*Result
+}
+
+// Compare runs every system at every load, several at once, and returns the
+// rows in order.
+func Compare(systems []System, loads []float64, w Workload) []Row {
+	rows := make([]Row, len(systems)*len(loads))
+	var all sync.WaitGroup
+	for i, load := range loads {
+		for k, s := range systems {
+			all.Go(func() {
+				own := w
+				own.Load = load
+				rows[i*len(systems)+k] = Row{load, s.Run(own)}
+			})
+		}
+	}
+	all.Wait()
+	return rows
+}
+
+// DefaultWorkload returns the workload of today's sizes.
+func DefaultWorkload(jobs int, seed uint64) Workload {
+	return Workload{Slots: workers * slots, Jobs: jobs, Seed: seed, LargestJob: largeJob}
+}
+
+// WriteTable writes the rows as a Markdown table.
+func WriteTable(out io.Writer, rows []Row) error {
+	var b strings.Builder
+	b.WriteString("| load | system | mean | p50 | p99 | worst | largest tenth, mean | wasted messages a start | jobs without an answer |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "| %.0f%% | %s | %.2f | %.2f | %.2f | %.1f | %.2f | %.3f | %d |\n",
+			100*r.Load, r.Name, r.Mean(), r.Quantile(50), r.Quantile(99), r.Worst(), r.LargestMean(), r.WastedPerStart(), r.Unanswered)
+	}
+	_, err := io.WriteString(out, b.String())
+	return err
+}
--- a/guard/window.go
+++ b/guard/window.go
@@ -7,29 +7,30 @@
 	return g.target.Slots + g.cfg.Queue
 }
 
-// window deals the agent's capacity out among the seats, one slot each at the
-// least and the rest by their demand, so that an agent seldom has to refuse.
+// window deals the agent's capacity out. Its owner has all of it, but for what
+// other seats need for jobs that they still own; those share by demand.
 func (g *Guard) window(to roster.ID) int {
 	if g.leaving || g.target.Drained || !g.view.HasSeat(to) {
 		return 0
 	}
-	seats := len(g.view.Seats)
-	spare := g.capacity() - seats
-	if spare <= 0 {
-		return 1
-	}
 	own, total := g.demand(to)
-	if total == 0 {
-		return 1 + spare/seats
+	if own == 0 {
+		return 0
 	}
-	return 1 + spare*own/total
+	return max(g.capacity()*own/total, 1)
 }
 
+// demand returns the tasks that the seat and all seats have for this agent; its
+// owner counts with one at the least.
 func (g *Guard) demand(to roster.ID) (own, total int) {
+	owner := g.view.Owner(g.target.Service, g.cfg.Self.Name)
 	for _, s := range g.view.Seats {
-		d := 1
+		d := 0
 		if l := g.links[s.ID]; l != nil {
-			d += l.demand
+			d = l.demand
+		}
+		if s.ID == owner {
+			d = max(d, 1)
 		}
 		total += d
 		if s.ID == to {
--- a/home/change.go
+++ b/home/change.go
@@ -96,7 +96,7 @@
 	for _, l := range h.ordered {
 		l.registered = h.view.HasAgent(l.id)
 	}
-	if h.Seated() && (!slices.Equal(before.Seats, r.Seats) || !h.take.settled()) {
+	if h.Seated() && (!slices.Equal(before.Seats, r.Seats) || before.Shards != r.Shards || !h.take.settled()) {
 		h.beginTakeover()
 	}
 	for _, l := range h.ordered {
@@ -174,12 +174,13 @@
 		r = h.wantedLeave(r)
 		r = h.wantedSeats(r)
 		r = h.wantedAgents(r)
+		r = r.WithShards(h.config.Shards)
 	}
 	return r
 }
 
 func sameMembers(a, b roster.Roster) bool {
-	return slices.Equal(a.Seats, b.Seats) && slices.Equal(a.Agents, b.Agents)
+	return slices.Equal(a.Seats, b.Seats) && slices.Equal(a.Agents, b.Agents) && a.Shards == b.Shards
 }
 
 // wantedLeave marks a leaving home's seat, and gives it up once the home has
@@ -193,7 +194,7 @@
 		return r.WithLeaving(h.cfg.Self)
 	}
 	if h.Drained() && h.othersSettled() {
-		return r.WithoutSeat(h.cfg.Self, h.now.Wall)
+		return r.WithoutLeaver(h.cfg.Self, h.now.Wall)
 	}
 	return r
 }
--- a/home/judge.go
+++ b/home/judge.go
@@ -25,12 +25,12 @@
 // judge accepts or refuses a job that is not known here, speaking as its
 // home: confirmed, and with all that can be known of its share.
 func (h *Home) judge(w waiter, sub job.Submission) {
-	id := sub.Job.ID
-	if in := h.take.inherited[id]; in != nil {
+	key, id := sub.Key(), sub.Job.ID
+	if in := h.take.inherited[key]; in != nil {
 		h.rebuild(w, sub, in)
 		return
 	}
-	if h.take.inDoubt(id, sub.Expiry()) && !h.rules.SkipDoubt {
+	if h.take.inDoubt(key, sub.Expiry()) && !h.rules.SkipDoubt {
 		h.refuse(w, id, beaconpoint.RanMaybe, refusal{code.OwnerLost,
 			"an entry and an agent that may know of the job were lost together", h.take.doubtLeft(h.now)})
 		return
@@ -60,7 +60,7 @@
 // keep makes r known and starts its tasks as places are free.
 func (h *Home) keep(w waiter, r *record) {
 	r.waiters = append(r.waiters, w)
-	h.records[r.id] = r
+	h.records[r.key] = r
 	h.expireAt(r, r.expiry)
 	h.members[r.sub.Job.Member] += len(r.tasks)
 	h.enqueue(r)
@@ -157,7 +157,7 @@
 		}
 		r.order = append(r.order, k)
 	}
-	if len(r.order) > 0 && h.take.inDoubt(id, sub.Expiry()) && !h.rules.SkipDoubt {
+	if len(r.order) > 0 && h.take.inDoubt(sub.Key(), sub.Expiry()) && !h.rules.SkipDoubt {
 		h.refuse(w, id, beaconpoint.RanYes, refusal{code.OwnerLost,
 			"an entry and an agent that may know of the job were lost together", 0})
 		return
--- a/home/place.go
+++ b/home/place.go
@@ -53,7 +53,7 @@
 
 // enqueue puts a job's waiting tasks into its service's queue.
 func (h *Home) enqueue(r *record) {
-	h.service(r.sub.Service).queue.Put(r.id, len(r.order), r.since)
+	h.service(r.sub.Service).queue.Put(r.key, len(r.order), r.since)
 }
 
 // pump starts waiting tasks while an agent can take one.
@@ -111,7 +111,7 @@
 
 func (h *Home) sendStart(l *link, r *record, k int) {
 	t := r.sub.Job.Tasks[k]
-	key := wire.TaskKey{Job: r.id, Index: k}
+	key := wire.TaskKey{Job: r.key, Index: k}
 	seq := h.send(l, wire.Start{
 		Key: key, TaskID: t.ID, Digest: r.digest, Service: r.sub.Service,
 		Payload: t.Payload, Expiry: r.expiry, Raw: r.sub.Single,
@@ -120,7 +120,7 @@
 }
 
 func (h *Home) await(l *link, r *record, k int) {
-	key := wire.TaskKey{Job: r.id, Index: k}
+	key := wire.TaskKey{Job: r.key, Index: k}
 	h.stats.Awaits++
 	seq := h.send(l, wire.Await{Key: key})
 	l.starts[key] = &start{seq: seq, sentAt: h.now.Mono, asked: h.now.Mono, await: true}
--- a/home/protocol_test.go
+++ b/home/protocol_test.go
@@ -66,7 +66,7 @@
 	world.Resubmit, world.Wait, world.Wait, world.Kill, world.Kill, world.KillTwo, world.Restart, world.Restart,
 	world.Pause, world.Pause, world.Resume, world.Resume, world.Cut, world.Mend, world.Mend, world.Isolate,
 	world.Split, world.Split, world.CutEntries, world.Outage,
-	world.StoreBack, world.StoreBack, world.StoreSlow, world.LoseAnswers, world.Leave,
+	world.StoreBack, world.StoreBack, world.StoreSlow, world.LoseAnswers, world.Leave, world.Reshard,
 }
 
 func drawStory(t *rapid.T) []step {
@@ -124,11 +124,14 @@
 		// Groups share the story's seed; the world's differs.
 		Entries: rapid.IntRange(1, 4).Draw(t, "entries"),
 		Agents:  rapid.IntRange(1, 4).Draw(t, "agents"),
+		Shards:  rapid.SampledFrom([]int{1, 4}).Draw(t, "shards"),
 		Seed:    rapid.Uint64().Draw(t, "seed")*groups + uint64(group),
 		Loss:    rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(t, "loss"),
 		Double:  rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "double"),
 		Late:    rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "late"),
 		LateBy:  8 * time.Second,
+
+		RosterLoss: rapid.SampledFrom([]float64{0, 0, 0.8}).Draw(t, "roster loss"),
 	}
 }
 
--- a/home/record.go
+++ b/home/record.go
@@ -30,6 +30,7 @@
 // record is a job as its home knows it. It is kept until the job's expiry and
 // the allowed skew have passed.
 type record struct {
+	key        string // names it among the jobs of all services
 	id         string
 	sub        job.Submission
 	digest     uint64
@@ -49,6 +50,7 @@
 // expected first.
 func newRecord(sub job.Submission, expiry int64, now time.Duration) *record {
 	r := &record{
+		key:        sub.Key(),
 		id:         sub.Job.ID,
 		sub:        sub,
 		digest:     sub.Digest,
@@ -114,7 +116,7 @@
 	}
 	r.waiters = nil
 	if a.Ran == beaconpoint.RanNo && a.State != beaconpoint.Complete {
-		delete(h.records, r.id)
+		delete(h.records, r.key)
 		return
 	}
 	h.hold(r)
@@ -123,7 +125,7 @@
 // release frees what a job holds of queue and quota.
 func (h *Home) release(r *record) {
 	if s := h.services[r.sub.Service]; s != nil {
-		s.queue.Put(r.id, 0, r.since)
+		s.queue.Put(r.key, 0, r.since)
 	}
 	member := r.sub.Job.Member
 	h.members[member] -= len(r.tasks)
--- a/home/rules_test.go
+++ b/home/rules_test.go
@@ -12,7 +12,7 @@
 )
 
 // mostHistories is how many histories are told at most until a fault is found.
-const mostHistories = 6000
+const mostHistories = 20000
 
 // rule is one rule taken out.
 type rule struct {
@@ -37,7 +37,7 @@
 	{name: "guard-seat", guard: guard.Rules{SkipSeat: true}},
 	{name: "guard-order", guard: guard.Rules{SkipOrder: true}},
 	{name: "guard-records", guard: guard.Rules{SkipRecords: true}},
-	{name: "guard-revision", guard: guard.Rules{SkipRevision: true}, from: 5764},
+	{name: "guard-revision", guard: guard.Rules{SkipRevision: true}, from: 14853},
 }
 
 // without returns the configuration with the rule taken out.
--- a/home/submit.go
+++ b/home/submit.go
@@ -51,11 +51,11 @@
 // route brings a submission to whoever can answer it: the record held here,
 // this home, or the one that is home to it.
 func (h *Home) route(w waiter, sub job.Submission, lookup bool) {
-	if r := h.records[sub.Job.ID]; r != nil {
+	if r := h.records[sub.Key()]; r != nil {
 		h.attach(w, sub, r, lookup)
 		return
 	}
-	home := h.view.Home(sub.Job.ID)
+	home := h.view.Home(sub.Key())
 	switch {
 	case home == h.cfg.Self && h.Seated():
 		h.own(w, sub, lookup)
@@ -68,11 +68,11 @@
 
 // own answers for a job that this home is home to, once it can speak for it.
 func (h *Home) own(w waiter, sub job.Submission, lookup bool) {
-	if !h.Standing(h.now) || !h.take.knows(sub.Job.ID, h.cfg.Self) {
+	if !h.Standing(h.now) || !h.take.knows(sub.Key(), h.cfg.Self) {
 		h.postpone(w, sub, lookup)
 		return
 	}
-	if holder, ok := h.take.moved[sub.Job.ID]; ok {
+	if holder, ok := h.take.moved[sub.Key()]; ok {
 		h.forwardFor(w, sub, lookup, holder.seat)
 		return
 	}
@@ -182,7 +182,11 @@
 // forwarded handles a submission that another seat sent here.
 func (h *Home) forwarded(l *link, m wire.Forward) {
 	w := waiter{l.id, m.Ticket}
-	if m.Pointed && h.records[m.Submission.Job.ID] == nil {
+	if m.Pointed && h.records[m.Submission.Key()] == nil {
+		if in := h.take.inherited[m.Submission.Key()]; in != nil && in.whole && !m.Lookup {
+			h.rebuild(w, m.Submission, in)
+			return
+		}
 		h.tell(w, refused(m.Submission.Job.ID, code.UnknownJob, beaconpoint.RanMaybe,
 			"the job's record is no longer held", 0))
 		return
@@ -219,7 +223,7 @@
 func (h *Home) reroute() {
 	for _, t := range slices.Sorted(maps.Keys(h.forwards)) {
 		f := h.forwards[t]
-		home := h.view.Home(f.sub.Job.ID)
+		home := h.view.Home(f.sub.Key())
 		if home == f.to || (f.pointed && h.view.HasSeat(f.to)) {
 			continue
 		}
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -39,6 +39,9 @@
 	digest uint64
 	expiry int64
 	tasks  map[int]roster.ID
+	// whole says that nothing was missing when the home was last settled, so
+	// that this home alone may finish the job.
+	whole bool
 }
 
 // moved is a job whose record another seat holds.
@@ -50,7 +53,28 @@
 // doubt is a share of jobs of which it can't be known whether they ran.
 type doubt struct {
 	wire.Doubt
-	view *roster.View
+	at     *roster.View
+	before []*roster.View
+}
+
+// viewOf returns the view that tells the homes of a share.
+func viewOf(s wire.Share) *roster.View {
+	return roster.NewView(roster.Roster{Seats: s.Seats, Shards: s.Shards})
+}
+
+// shareOf returns what the homes of a view depend on.
+func shareOf(v *roster.View) wire.Share {
+	return wire.Share{Seats: v.Seats, Shards: v.Shards}
+}
+
+// covers reports whether the job is in the share: its holder was home to it,
+// and was not all along.
+func (d doubt) covers(job string) bool {
+	if d.at.Home(job) != d.Holder {
+		return false
+	}
+	elsewhere := func(v *roster.View) bool { return v.Home(job) != d.Holder }
+	return len(d.before) == 0 || slices.ContainsFunc(d.before, elsewhere)
 }
 
 func newTakeover() takeover {
@@ -140,22 +164,45 @@
 	for _, j := range m.Moved {
 		t.moved[j.Job] = moved{seat: seat, expiry: j.Expiry}
 	}
+	for _, j := range m.Orphans {
+		t.orphans[j.Job] = j.Expiry
+	}
+	for _, j := range m.Doubted {
+		t.doubted[j.Job] = j.Expiry
+	}
 	for _, d := range m.Doubts {
 		t.addDoubt(d)
 	}
 }
 
+// keepWhole marks what self inherited of its share as whole. Of other jobs the
+// agents have not told all, so that what is known of them is dropped.
+func (t *takeover) keepWhole(v *roster.View, self roster.ID) {
+	for key, in := range t.inherited {
+		if v.Home(key) == self {
+			in.whole = true
+		} else if !in.whole {
+			delete(t.inherited, key)
+		}
+	}
+}
+
 func (t *takeover) current() *roster.View {
 	return t.views[len(t.views)-1]
 }
 
 func (t *takeover) addDoubt(d wire.Doubt) {
 	same := func(o doubt) bool {
-		return o.Expiry == d.Expiry && slices.Equal(o.Lost, d.Lost) && slices.Equal(o.Seats, d.Seats)
+		return o.Expiry == d.Expiry && o.Holder == d.Holder
 	}
-	if !slices.ContainsFunc(t.doubts, same) {
-		t.doubts = append(t.doubts, doubt{Doubt: d, view: roster.NewView(roster.Roster{Seats: d.Seats})})
+	if slices.ContainsFunc(t.doubts, same) {
+		return
+	}
+	next := doubt{Doubt: d, at: viewOf(d.At)}
+	for _, s := range d.Before {
+		next.before = append(next.before, viewOf(s))
 	}
+	t.doubts = append(t.doubts, next)
 }
 
 // inDoubt reports whether the job may have been started where nobody can tell.
@@ -165,10 +212,7 @@
 		return true
 	}
 	return slices.ContainsFunc(t.doubts, func(d doubt) bool {
-		if expiry > d.Expiry {
-			return false
-		}
-		return len(d.Seats) == 0 || slices.Contains(d.Lost, d.view.Home(job))
+		return expiry <= d.Expiry && d.covers(job)
 	})
 }
 
@@ -235,6 +279,7 @@
 	t.views = []*roster.View{h.view}
 	clear(t.orphans)
 	clear(t.lapse)
+	t.keepWhole(h.view, h.cfg.Self)
 	h.retryPending()
 }
 
@@ -273,12 +318,13 @@
 	return h.take.basis && h.now.Mono >= h.take.lastHeard+h.lapseTime()
 }
 
-// goneSeats returns the seats that have left the roster lately.
+// goneSeats returns the seats that have left the roster lately, but for those
+// that had handed over all before.
 func (h *Home) goneSeats() []roster.ID {
 	var gone []roster.ID
 	for _, v := range h.take.views {
 		for _, s := range v.Seats {
-			if !h.view.HasSeat(s.ID) {
+			if !h.view.HasSeat(s.ID) && !s.Leaving {
 				gone = append(gone, s.ID)
 			}
 		}
@@ -299,23 +345,16 @@
 		t.doubted[job] = expiry
 	}
 	expiry := h.now.Wall.Add(h.longestExpiry() + h.cfg.Skew).UnixMilli()
-	if !t.ever {
-		if len(h.view.LostSeats) > 0 {
-			t.addDoubt(wire.Doubt{Expiry: expiry})
-		}
+	if len(h.goneSeats()) == 0 && len(h.view.LostSeats) == 0 {
 		return
 	}
-	for _, v := range t.views[:len(t.views)-1] {
-		var lost []roster.ID
-		for _, s := range v.Seats {
-			if !h.view.HasSeat(s.ID) {
-				lost = append(lost, s.ID)
-			}
-		}
-		if len(lost) > 0 {
-			t.addDoubt(wire.Doubt{Seats: v.Seats, Lost: lost, Expiry: expiry})
+	d := wire.Doubt{Holder: h.cfg.Self, At: shareOf(h.view), Expiry: expiry}
+	if t.ever {
+		for _, v := range t.views {
+			d.Before = append(d.Before, shareOf(v))
 		}
 	}
+	t.addDoubt(d)
 }
 
 // longestExpiry returns the longest expiry of any service.
@@ -327,14 +366,33 @@
 	return longest
 }
 
+// movedTo returns those of the jobs, given with their expiries, that the seat is
+// home to.
+func (h *Home) movedTo(seat roster.ID, jobs map[string]int64) []wire.Moved {
+	var moved []wire.Moved
+	for _, key := range slices.Sorted(maps.Keys(jobs)) {
+		if h.view.Home(key) == seat {
+			moved = append(moved, wire.Moved{Job: key, Expiry: jobs[key]})
+		}
+	}
+	return moved
+}
+
 // handOver tells a seat of the jobs that it is home to and that are kept here.
 func (h *Home) handOver(l *link) {
 	m := wire.HandOver{Revision: h.view.Revision, Settled: h.take.ever}
-	for _, id := range slices.Sorted(maps.Keys(h.records)) {
-		if h.view.Home(id) == l.id {
-			m.Moved = append(m.Moved, wire.Moved{Job: id, Expiry: h.records[id].expiry})
+	held := make(map[string]int64, len(h.records)+len(h.take.inherited))
+	for key, in := range h.take.inherited {
+		if _, elsewhere := h.take.moved[key]; in.whole && !elsewhere {
+			held[key] = in.expiry
 		}
 	}
+	for key, r := range h.records {
+		held[key] = r.expiry
+	}
+	m.Moved = h.movedTo(l.id, held)
+	m.Orphans = h.movedTo(l.id, h.take.orphans)
+	m.Doubted = h.movedTo(l.id, h.take.doubted)
 	for _, d := range h.take.doubts {
 		m.Doubts = append(m.Doubts, d.Doubt)
 	}
--- a/home/tick.go
+++ b/home/tick.go
@@ -127,7 +127,7 @@
 }
 
 func (h *Home) expire(r *record) {
-	if h.records[r.id] != r {
+	if h.records[r.key] != r {
 		return
 	}
 	if r.state == beaconpoint.Running {
@@ -139,7 +139,7 @@
 		return
 	}
 	h.dropAnswer(r)
-	delete(h.records, r.id)
+	delete(h.records, r.key)
 }
 
 // tidy forgets what can't matter any more, now and then.
--- a/job/submission.go
+++ b/job/submission.go
@@ -30,6 +30,16 @@
 	Single bool
 }
 
+// Key names the job among all jobs of all services.
+func (s Submission) Key() string {
+	return s.Service + "/" + s.Job.ID
+}
+
+// IDOf returns the id of the job that a key names.
+func IDOf(key string) string {
+	return key[strings.LastIndexByte(key, '/')+1:]
+}
+
 // Expiry returns the job's expiry in Unix milliseconds, or zero where the
 // caller gave none.
 func (s Submission) Expiry() int64 {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,9 +9,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 )
 
 // keptChanges is how many change ids a roster carries, so that a swap whose
@@ -68,6 +65,9 @@
 	Revision uint64 `json:"revision"`
 	Seats    []Seat `json:"seats"`
 	Agents   []ID   `json:"agents"`
+	// Shards is how many shares each service's jobs are split into; each
+	// share has one home. None counts as one.
+	Shards int `json:"shards,omitempty"`
 	// LostSeats and LostAgents left within the retention.
 	LostSeats  []Loss `json:"lost_seats,omitempty"`
 	LostAgents []Loss `json:"lost_agents,omitempty"`
@@ -140,6 +140,17 @@
 	return r
 }
 
+// WithoutLeaver returns the roster without the seat of an entry that has handed
+// over all to the others; it counts as lost only where there are none.
+func (r Roster) WithoutLeaver(id ID, at time.Time) Roster {
+	lost := r.LostSeats
+	r = r.WithoutSeat(id, at)
+	if len(r.Seats) > 0 {
+		r.LostSeats = lost
+	}
+	return r
+}
+
 // WithAgent returns the roster with the agent registered. An earlier life of
 // the same agent counts as lost.
 func (r Roster) WithAgent(id ID, at time.Time) Roster {
@@ -160,6 +171,12 @@
 	return r
 }
 
+// WithShards returns the roster with another number of shares.
+func (r Roster) WithShards(n int) Roster {
+	r.Shards = n
+	return r
+}
+
 // WithLossesSince returns the roster without the losses from before cutoff.
 func (r Roster) WithLossesSince(cutoff time.Time) Roster {
 	old := func(l Loss) bool { return l.At < cutoff.UnixMilli() }
@@ -167,40 +184,3 @@
 	r.LostAgents = slices.DeleteFunc(slices.Clone(r.LostAgents), old)
 	return r
 }
-
-// View is a roster with its hashing worked out, for lookups on the path of a
-// request.
-type View struct {
-	Roster
-	ring *rendezvous.Rendezvous
-	ids  map[string]ID
-}
-
-// NewView returns the view of r.
-func NewView(r Roster) *View {
-	names := make([]string, 0, len(r.Seats))
-	ids := make(map[string]ID, len(r.Seats))
-	for _, s := range r.Seats {
-		if s.Leaving {
-			continue
-		}
-		names = append(names, s.ID.String())
-		ids[s.ID.String()] = s.ID
-	}
-	slices.Sort(names)
-	v := &View{Roster: r, ids: ids}
-	if len(names) > 0 {
-		v.ring = rendezvous.New(names, xxhash.Sum64String)
-	}
-	return v
-}
-
-// Home returns the seat that owns the job, or the zero ID when nobody is
-// seated. It hashes by rendezvous, so that a change of one seat moves only the
-// jobs of that seat.
-func (v *View) Home(job string) ID {
-	if v.ring == nil {
-		return ID{}
-	}
-	return v.ids[v.ring.Lookup(job)]
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,7 +14,7 @@
 // Defaults of the settings.
 const (
 	DefaultLease     = 3 * time.Second
-	DefaultQueue     = 2
+	DefaultQueue     = 0
 	DefaultOutputMB  = 16
 	DefaultDrainTime = 60 * time.Second
 	DefaultSkew      = 2 * time.Second
--- a/target/client.go
+++ b/target/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/job"
 	"github.com/beaconpoint/beaconpoint/wire"
 )
 
@@ -72,7 +73,7 @@
 	req.ContentLength = int64(len(body))
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderJob, s.Key.Job)
+	req.Header.Set(HeaderJob, job.IDOf(s.Key.Job))
 	req.Header.Set(HeaderTask, s.TaskID)
 	resp, err := c.http.Do(req)
 	if err != nil && !connected.Load() {
--- a/testutil/world/act.go
+++ b/testutil/world/act.go
@@ -36,13 +36,17 @@
 	StoreSlow
 	LoseAnswers
 	Leave
+	Reshard
 	Acts // how many there are
 )
 
+// GoString returns the act's name, as counterexamples show it.
+func (a Act) GoString() string { return a.String() }
+
 // String returns the act's name, as counterexamples show it.
 func (a Act) String() string {
 	return [...]string{"submit", "resubmit", "resubmit-last", "wait", "kill", "kill-two", "restart", "pause", "resume", "cut",
-		"mend", "isolate", "split", "cut-entries", "isolate-entry", "pause-entry", "outage", "store-back", "store-slow", "lose-answers", "leave"}[a]
+		"mend", "isolate", "split", "cut-entries", "isolate-entry", "pause-entry", "outage", "store-back", "store-slow", "lose-answers", "leave", "reshard"}[a]
 }
 
 // Do performs an act; k chooses whom and what it is about.
@@ -139,6 +143,8 @@
 		w.store.lose = true
 	case Leave:
 		w.leave(p)
+	case Reshard:
+		w.reshard(1 + w.rng.IntN(4))
 	}
 }
 
@@ -193,7 +199,7 @@
 }
 
 func (w *World) submit(id string, k int) {
-	expiry := w.base.Add(w.now + jobLife)
+	expiry := w.base.Add(w.now() + jobLife)
 	j := beaconpoint.Job{ID: id, Member: member, ExpiresAt: &expiry}
 	for i := range 1 + k%4 {
 		j.Tasks = append(j.Tasks, beaconpoint.Task{ID: fmt.Sprint(i)})
@@ -202,7 +208,7 @@
 	if err != nil {
 		panic(err) // the jobs made here are well-formed
 	}
-	w.jobs[id] = &jobState{sub: sub, starts: make(map[int]int), first: w.now}
+	w.jobs[id] = &jobState{sub: sub, starts: make(map[int]int), first: w.now()}
 	w.ask(id, k)
 }
 
@@ -293,3 +299,17 @@
 		}
 	}
 }
+
+// reshard puts another number of shares in force at one entry, from where it
+// spreads.
+func (w *World) reshard(n int) {
+	entries := w.entries()
+	if len(entries) == 0 {
+		return
+	}
+	w.revision++
+	w.shards = n
+	p := entries[w.rng.IntN(len(entries))]
+	d := w.document()
+	w.handle(p, p.id, func() { w.apply(p, p.home.Configure(w.moment(p), d)) })
+}
--- a/testutil/world/network.go
+++ b/testutil/world/network.go
@@ -7,6 +7,7 @@
 	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/guard"
 	"github.com/beaconpoint/beaconpoint/home"
+	"github.com/beaconpoint/beaconpoint/job"
 	"github.com/beaconpoint/beaconpoint/roster"
 	"github.com/beaconpoint/beaconpoint/wire"
 )
@@ -77,9 +78,13 @@
 	w.counts.Frames++
 	id := w.frames
 	if w.Trace != nil {
-		w.Trace("%v %s -> %s %+v", w.now, from, to, f)
+		w.Trace("%v %s -> %s %+v", w.now(), from, to, f)
 	}
-	if !w.calm && w.rng.Float64() < w.cfg.Loss {
+	loss := w.cfg.Loss
+	if f.Body.Kind() == wire.KindRoster {
+		loss = max(loss, w.cfg.RosterLoss)
+	}
+	if !w.calm && w.rng.Float64() < loss {
 		return
 	}
 	w.deliver(id, from, to, f)
@@ -196,7 +201,8 @@
 
 // started counts a start, and ends it after a while.
 func (w *World) started(p *process, frame uint64, s wire.Start) {
-	j := w.jobs[s.Key.Job]
+	id := job.IDOf(s.Key.Job)
+	j := w.jobs[id]
 	j.starts[s.Key.Index]++
 	j.total++
 	w.counts.Starts++
@@ -206,13 +212,13 @@
 	if frame != 0 && frame <= j.noFrame {
 		w.fail("task %s was started at %s after the job was called not run", s.Key, p.id)
 	}
-	status, c, out := wire.Done, code.OK, []byte(outputOf(s.Key.Job, s.Key.Index))
+	status, c, out := wire.Done, code.OK, []byte(outputOf(id, s.Key.Index))
 	if w.rng.IntN(20) == 0 {
 		status, c, out = wire.Failed, code.TaskFailed, nil
 	}
 	took := time.Duration(50+w.rng.IntN(1500)) * time.Millisecond
-	id := p.id
+	life := p.id
 	w.after(took, func() {
-		w.handle(p, id, func() { w.applyGuard(p, 0, p.guard.Ended(w.moment(p), s.Key, status, c, out)) })
+		w.handle(p, life, func() { w.applyGuard(p, 0, p.guard.Ended(w.moment(p), s.Key, status, c, out)) })
 	})
 }
--- a/testutil/world/world.go
+++ b/testutil/world/world.go
@@ -5,7 +5,6 @@
 package world
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"github.com/beaconpoint/beaconpoint/home"
 	"github.com/beaconpoint/beaconpoint/job"
 	"github.com/beaconpoint/beaconpoint/roster"
+	"github.com/beaconpoint/beaconpoint/vtime"
 	"github.com/beaconpoint/beaconpoint/wire"
 )
 
@@ -39,13 +39,18 @@
 // Config is the shape of a world.
 type Config struct {
 	Entries, Agents int
-	Seed            uint64
+	// Shards is how many shares the service's jobs are split into at first.
+	Shards int
+	Seed   uint64
 	// Loss, Double and Late are the shares of frames that are lost, arrive
 	// twice, or arrive up to LateBy later.
 	Loss, Double, Late float64
 	LateBy             time.Duration
-	HomeRules          home.Rules
-	GuardRules         guard.Rules
+	// RosterLoss is the share of rosters that are lost, so that processes
+	// hear of revisions that they do not hold.
+	RosterLoss float64
+	HomeRules  home.Rules
+	GuardRules guard.Rules
 }
 
 // Counts is what a world has seen.
@@ -57,10 +62,8 @@
 type World struct {
 	cfg     Config
 	rng     *rand.Rand
-	now     time.Duration
+	events  *vtime.Queue
 	base    time.Time
-	events  eventHeap
-	order   uint64
 	procs   []*process
 	byID    map[roster.ID]*process
 	cuts    map[pair]bool
@@ -74,6 +77,9 @@
 	counts  Counts
 	broken  error
 	calm    bool
+	// revision and shards are the configuration's.
+	revision uint64
+	shards   int
 	// Trace takes every frame, for looking into a counterexample.
 	Trace func(string, ...any)
 }
@@ -127,13 +133,16 @@
 	w := &World{
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
-		now:     time.Second,
+		events:  vtime.NewQueue(time.Second),
 		base:    time.Unix(1_700_000_000, 0),
 		byID:    make(map[roster.ID]*process),
 		cuts:    make(map[pair]bool),
 		epochs:  make(map[pair]int),
 		jobs:    make(map[string]*jobState),
 		tickets: make(map[uint64]*asked),
+
+		revision: 1,
+		shards:   cfg.Shards,
 	}
 	for k := range cfg.Agents {
 		w.procs = append(w.procs, &process{name: fmt.Sprintf("agent%d", k), role: wire.RoleAgent})
@@ -162,28 +171,24 @@
 
 // Run lets the world go on for d.
 func (w *World) Run(d time.Duration) {
-	end := w.now + d
-	for len(w.events) > 0 && w.events[0].at <= end && w.broken == nil {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
+	w.events.Run(w.now()+d, func() bool { return w.broken != nil })
 }
 
+// Now returns the time since the world began.
+func (w *World) Now() time.Duration { return w.now() }
+
+func (w *World) now() time.Duration { return w.events.Now() }
+
 func (w *World) fail(format string, args ...any) {
 	if w.broken == nil {
-		w.broken = fmt.Errorf("at %v: "+format, append([]any{w.now}, args...)...)
+		w.broken = fmt.Errorf("at %v: "+format, append([]any{w.now()}, args...)...)
 	}
 }
 
-func (w *World) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{at: w.now + d, order: w.order, do: do})
-}
+func (w *World) after(d time.Duration, do func()) { w.events.After(d, do) }
 
 func (w *World) moment(p *process) clock.Moment {
-	return clock.Moment{Mono: w.now - p.began + time.Second, Wall: w.base.Add(w.now)}
+	return clock.Moment{Mono: w.now() - p.began + time.Second, Wall: w.base.Add(w.now())}
 }
 
 // begin starts a new life of p.
@@ -191,7 +196,7 @@
 	w.lives++
 	p.id = roster.NewID(p.name, w.lives)
 	p.alive, p.paused, p.leaving, p.inbox, p.rev = true, false, false, nil, 0
-	p.began = w.now - time.Duration(w.rng.IntN(1000))*time.Second
+	p.began = w.now() - time.Duration(w.rng.IntN(1000))*time.Second
 	w.byID[p.id] = p
 	if p.role == wire.RoleAgent {
 		p.guard = guard.NewGuard(guard.Config{Self: p.id, Lease: lease, Skew: skew, Queue: 1, OutputBytes: 1 << 20},
@@ -228,7 +233,7 @@
 			s.Targets = append(s.Targets, config.Target{Name: p.name, Agent: p.name, Slots: 2, Connections: 8})
 		}
 	}
-	return config.Document{Revision: 1, Services: []config.Service{s}, Members: []config.Member{{Name: member}}}
+	return config.Document{Revision: w.revision, Shards: w.shards, Services: []config.Service{s}, Members: []config.Member{{Name: member}}}
 }
 
 func (w *World) tickHome(p *process, id roster.ID) {
@@ -276,31 +281,6 @@
 	p.rev = rev
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*h = old[:len(old)-1]
-	return e
-}
-
 // answerOf checks a final answer that reaches a caller.
 func (w *World) answerOf(t uint64, a beaconpoint.Answer) {
 	q := w.tickets[t]
--- a/wire/message.go
+++ b/wire/message.go
@@ -128,7 +128,7 @@
 	Drained     bool
 }
 
-// TaskKey names one task of one job.
+// TaskKey names one task of one job, by the job's key.
 type TaskKey struct {
 	Job   string
 	Index int
@@ -237,12 +237,21 @@
 	Expiry int64
 }
 
-// Doubt is a share of jobs about which it can't be known whether they ran.
+// Share is what the homes of jobs depend on.
+type Share struct {
+	Seats  []roster.Seat
+	Shards int
+}
+
+// Doubt is a share of jobs about which it can't be known whether they ran: those
+// that Holder got from other seats that are gone, with an agent's records gone
+// too.
 type Doubt struct {
-	// Seats held the roster while Lost were seated; without any, every job
-	// is in doubt.
-	Seats []roster.Seat
-	Lost  []roster.ID
+	Holder roster.ID
+	// At is where Holder was home to them, and Before where it was not to
+	// all of them; without any before, all that it was home to are in doubt.
+	At     Share
+	Before []Share
 	// Expiry is the latest that such a job can have, in Unix milliseconds.
 	Expiry int64
 }
@@ -253,7 +262,13 @@
 	Revision uint64
 	// Settled says that the sender has answered for jobs before.
 	Settled bool
-	Moved   []Moved
+	// Moved are jobs that the sender holds: their records, or what it knows
+	// of their starts by seats that are gone.
+	Moved []Moved
+	// Orphans are jobs whose holder is gone and Doubted those of them that
+	// stay in doubt.
+	Orphans []Moved
+	Doubted []Moved
 	Doubts  []Doubt
 }
 
