The policy measured beside its baselines, with the command that does it again

Cause: the aim was a figure (within 5% of an all-knowing ordered queue, 0.02 wasted messages a start) and nothing measured it. Change: the subcommand experiment runs the real home and guard in virtual time beside four baselines and writes docs/measurements/policy.md with plots.

--- a/cmd/beaconpoint/main.go
+++ b/cmd/beaconpoint/main.go
@@ -38,7 +38,7 @@
 func main() {
 	commands := []*command{
 		entryCommand(), agentCommand(), checkCommand(), demoCommand(),
-		submitCommand(), loadCommand(), codesCommand(), versionCommand(),
+		submitCommand(), loadCommand(), experimentCommand(), codesCommand(), versionCommand(),
 	}
 	flaggy.SetName("beaconpoint")
 	flaggy.SetDescription("a dispatcher for sub-second tasks")
