--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,9 @@
 	drainPoll    = 20 * time.Millisecond
 	drainLinger  = 200 * time.Millisecond
 	httpGrace    = 2 * time.Second
+	// balancerLag is how long a stopping entry serves on as before while the
+	// balancer notices that it is not ready.
+	balancerLag = time.Second
 )
 
 // Entry is one running entry.
@@ -181,6 +184,7 @@
 	e.log.Info("entry leaves")
 	e.stopping.Store(true)
 	e.ready.Store(false)
+	time.Sleep(balancerLag)
 	e.do(func(now clock.Moment) home.Effects { return e.home.Leave(now) })
 	select {
 	case <-e.done:
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -29,16 +29,19 @@
 
 // Status is what one entry tells of itself.
 type Status struct {
-	Seat     string   `json:"seat"`
-	Seated   bool     `json:"seated"`
-	Standing bool     `json:"standing"`
-	Settled  bool     `json:"settled"`
-	Roster   uint64   `json:"roster_revision"`
-	Config   uint64   `json:"config_revision"`
-	Seats    []string `json:"seats"`
-	Agents   []string `json:"agents"`
-	Waiting  int      `json:"tasks_waiting"`
-	Running  int      `json:"tasks_running"`
+	Seat     string `json:"seat"`
+	Seated   bool   `json:"seated"`
+	Standing bool   `json:"standing"`
+	Settled  bool   `json:"settled"`
+	Roster   uint64 `json:"roster_revision"`
+	Config   uint64 `json:"config_revision"`
+	// AgentConfig is the lowest configuration revision that a connected agent
+	// has shown.
+	AgentConfig uint64   `json:"agent_config_revision"`
+	Seats       []string `json:"seats"`
+	Agents      []string `json:"agents"`
+	Waiting     int      `json:"tasks_waiting"`
+	Running     int      `json:"tasks_running"`
 	// Open is how many agents take starts of this entry now.
 	Open  int    `json:"agents_open"`
 	Calls uint64 `json:"store_calls"`
@@ -118,6 +121,7 @@
 		Counts:   e.past.Plus(e.home.Stats()),
 	}
 	s.Waiting, s.Running = e.home.Waiting()
+	s.AgentConfig = e.home.AgentConfig()
 	s.Open = e.home.OpenAgents(e.clock.Now())
 	for _, seat := range r.Seats {
 		s.Seats = append(s.Seats, seat.ID.String())
--- a/home/home.go
+++ b/home/home.go
@@ -314,6 +314,18 @@
 	return n
 }
 
+// AgentConfig returns the lowest configuration revision that a connected agent
+// has shown.
+func (h *Home) AgentConfig() uint64 {
+	lowest := h.config.Revision
+	for _, l := range h.ordered {
+		if l.up && l.role == wire.RoleAgent {
+			lowest = min(lowest, l.config)
+		}
+	}
+	return lowest
+}
+
 // Drained reports whether a leaving home has nothing left to answer.
 func (h *Home) Drained() bool {
 	if len(h.pending) > 0 || len(h.forwards) > 0 {
--- /dev/null
+++ b/trials/config_test.go
@@ -0,0 +1,121 @@
+package trials
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/config"
+	standplatform "github.com/beaconpoint/beaconpoint/standin/platform"
+	"github.com/beaconpoint/beaconpoint/testutil/cluster"
+)
+
+// changes is how many configuration changes the spread is measured over.
+const changes = 20
+
+// untilEverywhere waits until every process shows the revision, and returns how
+// long that took. A process that shows a lower one than before fails the test.
+func untilEverywhere(t *testing.T, c *cluster.Cluster, revision uint64) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for k := range c.Entries {
+		var last uint64
+		for {
+			s, err := c.Operator(k).Status(context.Background())
+			assert.NilError(t, err)
+			assert.Assert(t, s.Config >= last, "entry %d went back from %d to %d", k, last, s.Config)
+			last = s.Config
+			if s.Config >= revision && s.AgentConfig >= revision {
+				break
+			}
+			assert.Assert(t, time.Since(began) < patience, "entry %d is at %d, its agents at %d", k, s.Config, s.AgentConfig)
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+func memberIntent(inFlight int) config.Intent {
+	return config.Intent{Members: []config.Member{{Name: cluster.Member, InFlight: inFlight}}}
+}
+
+func TestAcceptedConfigurationIsEverywhereWithinSeconds(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	ctx := context.Background()
+	for _, outage := range []bool{false, true} {
+		var spread []time.Duration
+		for k := range changes {
+			plan, err := c.Operator(k%3).Plan(ctx, memberIntent(10_000+k))
+			assert.NilError(t, err)
+			done, err := c.Operator((k+1)%3).Confirm(ctx, plan)
+			assert.NilError(t, err)
+			c.Store.SetFaults(standplatform.Faults{Outage: outage})
+			spread = append(spread, untilEverywhere(t, c, done.Revision))
+			c.Store.SetFaults(standplatform.Faults{})
+		}
+		slices.Sort(spread)
+		t.Logf("%d changes, store down right after: %v: median %d ms, worst %d ms in force in all 6 processes",
+			changes, outage, spread[changes/2].Milliseconds(), spread[changes-1].Milliseconds())
+	}
+	before, err := c.Operator(0).Config(ctx)
+	assert.NilError(t, err)
+	for _, p := range append(slices.Clone(c.Entries), c.Agents...) {
+		p.Kill()
+	}
+	for _, p := range append(slices.Clone(c.Agents), c.Entries...) {
+		c.Begin(p)
+	}
+	c.UntilReady()
+	untilEverywhere(t, c, before.Revision)
+}
+
+func TestOperatorsRace(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	ctx := context.Background()
+	first, err := c.Operator(0).Plan(ctx, memberIntent(100))
+	assert.NilError(t, err)
+	second, err := c.Operator(1).Plan(ctx, memberIntent(200))
+	assert.NilError(t, err)
+	errs := make([]error, 2)
+	var both sync.WaitGroup
+	for k, p := range []config.Plan{first, second} {
+		both.Go(func() { _, errs[k] = c.Operator(k).Confirm(ctx, p) })
+	}
+	both.Wait()
+	loser := errs[0]
+	if loser == nil {
+		loser = errs[1]
+	}
+	assert.Assert(t, errs[0] == nil || errs[1] == nil, "%v, %v", errs[0], errs[1])
+	assert.Equal(t, code.Of(loser, code.OK), code.PlanStale)
+	assert.ErrorContains(t, loser, "by test: ~ member port-gate")
+}
+
+func TestConfirmingTwiceIsOneChange(t *testing.T) {
+	c := cluster.Start(t, threeByThree())
+	ctx := context.Background()
+	plan, err := c.Operator(0).Plan(ctx, memberIntent(100))
+	assert.NilError(t, err)
+	c.Store.SetFaults(standplatform.Faults{LoseAnswers: 1})
+	once, err := c.Operator(1).Confirm(ctx, plan)
+	assert.NilError(t, err, "the swap took effect with its answer lost")
+	twice, err := c.Operator(2).Confirm(ctx, plan)
+	assert.NilError(t, err)
+	assert.Equal(t, once, twice)
+
+	plan.Base++
+	_, err = c.Operator(0).Confirm(ctx, plan)
+	assert.Equal(t, code.Of(err, code.OK), code.OK, "a known change is done, whatever its plan says now")
+	plan.Change = "another"
+	_, err = c.Operator(0).Confirm(ctx, plan)
+	assert.Equal(t, code.Of(err, code.OK), code.PlanTampered)
+
+	c.Store.SetFaults(standplatform.Faults{Outage: true})
+	_, err = c.Operator(0).Confirm(ctx, plan)
+	assert.Equal(t, code.Of(err, code.OK), code.StoreDown)
+}
