Members' quotas of tasks in flight and of rate

Cause: the rate was read and not enforced, and a home's part of a quota was a third where one home has all of a service. Change: parts by the entries that are home to any share; the rate by x/time/rate at the home's own time. Measured: tests at the bounds; who comes back when told is served.

--- a/home/change.go
+++ b/home/change.go
@@ -93,6 +93,7 @@
 		h.lost = true
 		h.out.Removed = true
 	}
+	h.countHomes()
 	for _, l := range h.ordered {
 		l.registered = h.view.HasAgent(l.id)
 	}
--- a/home/configure.go
+++ b/home/configure.go
@@ -28,6 +28,7 @@
 	}
 	h.config = config.NewView(d)
 	h.out.Configured = true
+	h.countHomes()
 	for _, l := range h.ordered {
 		h.inform(l)
 	}
--- a/home/rate.go
+++ b/home/drain.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// rate measures how fast a queue drains, over the last few seconds.
-type rate struct {
+// drainRate measures how fast a queue drains, over the last few seconds.
+type drainRate struct {
 	began time.Duration
 	last  time.Duration
 	count float64
@@ -13,7 +13,7 @@
 const rateWindow = 4 * time.Second
 
 // note counts one finished task.
-func (r *rate) note(now time.Duration) {
+func (r *drainRate) note(now time.Duration) {
 	if r.count == 0 {
 		r.began = now
 	}
@@ -26,14 +26,14 @@
 }
 
 // perSecond returns the finished tasks a second; zero when none were seen.
-func (r *rate) perSecond() float64 {
+func (r *drainRate) perSecond() float64 {
 	span := max(r.last-r.began, 100*time.Millisecond)
 	return r.count / span.Seconds()
 }
 
 // timeFor returns how long n tasks take to drain, within the bounds of a time
 // to come back.
-func (r *rate) timeFor(n int) time.Duration {
+func (r *drainRate) timeFor(n int) time.Duration {
 	perSecond := r.perSecond()
 	if perSecond == 0 {
 		return shortestRetry
--- a/home/home.go
+++ b/home/home.go
@@ -155,7 +155,8 @@
 	forwards map[uint64]*forward
 	tickets  uint64
 	pending  []pending
-	members  map[string]int // tasks in flight
+	members  map[string]*member
+	homes    int // entries that are home to any share
 	haveRead bool
 	leaving  bool
 	lost     bool
@@ -177,7 +178,7 @@
 type service struct {
 	queue  *dispatch.Queue
 	agents []*link
-	drain  rate
+	drain  drainRate
 }
 
 // forward is a submission that another seat answers.
@@ -239,7 +240,7 @@
 		services: make(map[string]*service),
 		records:  make(map[string]*record),
 		forwards: make(map[uint64]*forward),
-		members:  make(map[string]int),
+		members:  make(map[string]*member),
 		needRead: true,
 		take:     newTakeover(),
 
--- a/home/judge.go
+++ b/home/judge.go
@@ -62,7 +62,7 @@
 	r.waiters = append(r.waiters, w)
 	h.records[r.key] = r
 	h.expireAt(r, r.expiry)
-	h.members[r.sub.Job.Member] += len(r.tasks)
+	h.member(r.sub.Job.Member).inFlight += len(r.tasks)
 	h.enqueue(r)
 	h.pump(r.sub.Service)
 }
@@ -119,23 +119,11 @@
 	if queued+n > bounds.Queue && queued > 0 {
 		return refusal{code.QueueFull, "the service's queue is full here", s.drain.timeFor(queued + n - bounds.Queue)}, false
 	}
-	if part := h.part(m.InFlight); part > 0 && h.members[m.Name]+n > part {
-		return refusal{code.QuotaInFlight, "the member's quota of tasks in flight is used up", s.drain.timeFor(h.members[m.Name] + n - part)}, false
-	}
 	left := time.Duration(sub.Deadline-h.now.Wall.UnixMilli()) * time.Millisecond
 	if wait := s.drain.timeFor(queued); queued > 0 && wait > left {
 		return refusal{code.CannotMeetExpiry, "the queue is longer than the job's expiry allows", wait - left}, false
 	}
-	return refusal{}, true
-}
-
-// part returns this home's part of a region's quota: what the seats hold
-// together never exceeds the quota, unless it is smaller than their number.
-func (h *Home) part(quota int) int {
-	if quota == 0 {
-		return 0
-	}
-	return max(quota/max(len(h.view.Seats), 1), 1)
+	return h.admitQuota(m, n, &s.drain)
 }
 
 // rebuild takes up a job whose former home is gone, from the agents' records:
--- /dev/null
+++ b/home/quota_test.go
@@ -0,0 +1,101 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint"
+	"github.com/beaconpoint/beaconpoint/clock"
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/config"
+	"github.com/beaconpoint/beaconpoint/home"
+	"github.com/beaconpoint/beaconpoint/job"
+	"github.com/beaconpoint/beaconpoint/roster"
+	"github.com/beaconpoint/beaconpoint/wire"
+)
+
+// bench is one home with one agent that answers nothing by itself.
+type bench struct {
+	t   *testing.T
+	h   *home.Home
+	now clock.Moment
+	n   uint64
+}
+
+func newBench(t *testing.T, m config.Member, b config.Bounds) *bench {
+	t.Helper()
+	id := roster.NewID("entry", 1)
+	x := &bench{t: t, h: home.NewHome(home.DefaultConfig(id, "here")), now: clock.Moment{Mono: time.Second, Wall: time.Unix(1_700_000_000, 0)}}
+	x.h.Configure(x.now, config.Document{Revision: 1, Members: []config.Member{m}, Services: []config.Service{{
+		Name: "trackd", Bounds: b, Targets: []config.Target{{Name: "worker", Agent: "there", Slots: 2, Connections: 8}},
+	}}})
+	worker := roster.NewID("worker", 1)
+	x.h.RosterRead(x.now, roster.Roster{Revision: 1, Seats: []roster.Seat{{ID: id}}, Agents: []roster.ID{worker}, Changes: []string{"c"}}, nil)
+	x.h.LinkUp(x.now, worker, wire.RoleAgent)
+	x.receive(worker, wire.AgentHeartbeat{Service: "trackd", Window: 2, Slots: 2, Standing: true})
+	x.receive(worker, wire.Records{Revision: 1})
+	assert.Assert(t, x.h.Settled() && x.h.Standing(x.now))
+	return x
+}
+
+func (x *bench) receive(from roster.ID, m wire.Message) home.Effects {
+	x.n++
+	return x.h.Receive(x.now, from, wire.Frame{
+		Header: wire.Header{Kind: m.Kind(), Seq: x.n, Revision: 1, Config: 1, Stamp: int64(x.n), Echo: int64(x.now.Mono)}, Body: m,
+	})
+}
+
+// submit returns the code that a job of n tasks is refused with, or Running.
+func (x *bench) submit(n int) (code.Code, time.Duration) {
+	x.t.Helper()
+	x.n++
+	j := beaconpoint.Job{ID: fmt.Sprintf("j%d", x.n), Member: "m"}
+	for k := range n {
+		j.Tasks = append(j.Tasks, beaconpoint.Task{ID: fmt.Sprint(k)})
+	}
+	sub, err := job.New("trackd", j)
+	assert.NilError(x.t, err)
+	out := x.h.Submit(x.now, x.n, sub)
+	if len(out.Answers) == 0 {
+		return code.Running, 0
+	}
+	a := out.Answers[0].Answer
+	assert.Equal(x.t, a.Ran, beaconpoint.RanNo)
+	return code.Code(a.Code), time.Duration(a.RetryAfterMS) * time.Millisecond
+}
+
+func TestMemberHasAtMostItsTasksInFlight(t *testing.T) {
+	x := newBench(t, config.Member{Name: "m", InFlight: 10}, config.Bounds{})
+	for _, c := range []struct {
+		tasks int
+		want  code.Code
+	}{{6, code.Running}, {5, code.QuotaInFlight}, {4, code.Running}, {1, code.QuotaInFlight}} {
+		got, retry := x.submit(c.tasks)
+		assert.Equal(t, got, c.want)
+		assert.Equal(t, retry > 0, c.want != code.Running)
+	}
+}
+
+func TestMemberIsHeldToItsRate(t *testing.T) {
+	x := newBench(t, config.Member{Name: "m", Rate: 20}, config.Bounds{})
+	got, _ := x.submit(20)
+	assert.Equal(t, got, code.Running)
+	got, retry := x.submit(10)
+	assert.Equal(t, got, code.RateLimited)
+	assert.Equal(t, retry, 500*time.Millisecond)
+	x.now = x.now.Plus(retry)
+	got, _ = x.submit(10)
+	assert.Equal(t, got, code.Running, "who comes back when told is served")
+}
+
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	x := newBench(t, config.Member{Name: "m"}, config.Bounds{Queue: 5})
+	got, _ := x.submit(7) // two start at once
+	assert.Equal(t, got, code.Running)
+	got, retry := x.submit(1)
+	assert.Equal(t, got, code.QueueFull)
+	assert.Assert(t, retry > 0)
+}
--- a/home/record.go
+++ b/home/record.go
@@ -127,11 +127,7 @@
 	if s := h.services[r.sub.Service]; s != nil {
 		s.queue.Put(r.key, 0, r.since)
 	}
-	member := r.sub.Job.Member
-	h.members[member] -= len(r.tasks)
-	if h.members[member] <= 0 {
-		delete(h.members, member)
-	}
+	h.member(r.sub.Job.Member).inFlight -= len(r.tasks)
 	r.sub.Job.Tasks = nil
 	r.tasks = nil
 	r.order = nil
--- a/roster/view.go
+++ b/roster/view.go
@@ -66,6 +66,19 @@
 	return v.homeOf(service, v.shard[agent])
 }
 
+// HomesOf returns the seats that are home to the service's shares, one for each
+// share.
+func (v *View) HomesOf(service string) []ID {
+	if v.ring == nil {
+		return nil
+	}
+	homes := make([]ID, v.shards)
+	for shard := range homes {
+		homes[shard] = v.homeOf(service, uint64(shard))
+	}
+	return homes
+}
+
 func (v *View) homeOf(service string, shard uint64) ID {
 	if v.ring == nil {
 		return ID{}
