--- a/testutil/world/store.go
+++ b/testutil/world/store.go
@@ -27,6 +27,7 @@
 		switch {
 		case w.store.outage, p.noStore:
 			outcome = home.Unknown
+			w.maybeLater(s)
 		case w.store.roster.Revision == s.Base:
 			w.store.roster = s.Next
 			w.notify()
@@ -41,6 +42,20 @@
 	})
 }
 
+// maybeLater lets a swap that met an outage take effect some time later, with
+// nobody told.
+func (w *World) maybeLater(s home.Swap) {
+	if w.rng.IntN(4) > 0 {
+		return
+	}
+	w.after(time.Duration(w.rng.IntN(5000))*time.Millisecond, func() {
+		if w.store.roster.Revision == s.Base {
+			w.store.roster = s.Next
+			w.notify()
+		}
+	})
+}
+
 func (w *World) read(p *process) {
 	id := p.id
 	w.after(w.storeTime(), func() {
