--- a/experiment/suite.go
+++ b/experiment/suite.go
@@ -29,24 +29,32 @@
 
 // Systems returns the system in service and the baselines.
 func Systems() []System {
-	random := rand.New(rand.NewPCG(5, 5))
 	ours := Fleet{Name: "beaconpoint", Homes: entries, Workers: workers, Slots: slots,
 		AgentQueue: agentRoom, Delay: oneWay, Policy: dispatch.DefaultPolicy()}
 	knowing := Fleet{Name: "all-knowing, fewest unstarted", Homes: 1, Workers: workers, Slots: slots,
 		Policy: dispatch.Policy{Order: dispatch.FewestUnstarted, Choose: dispatch.LeastLoaded}}
 	firstCome := knowing
 	firstCome.Name, firstCome.Policy.Order = "all-knowing, first come", dispatch.FirstCome
-	atRandom := Fleet{Name: "random, agent queue", Homes: entries, Workers: workers, Slots: slots, AgentQueue: 1_000_000,
-		Delay: oneWay, Policy: dispatch.Policy{Order: dispatch.FirstCome, Choose: func(all []dispatch.Candidate) int {
-			if len(all) == 0 {
-				return -1
-			}
-			return random.IntN(len(all))
-		}}}
+	atRandom := func(w Workload) *Result {
+		f := Fleet{Name: "random, agent queue", Homes: entries, Workers: workers, Slots: slots, AgentQueue: 1_000_000,
+			Delay: oneWay, Policy: dispatch.Policy{Order: dispatch.FirstCome, Choose: chooseAny(w.Seed)}}
+		return f.Run(w)
+	}
 	sampling := Sampling{Name: "sampling, late binding", Workers: workers, Slots: slots, Probes: 2, Delay: oneWay}
 	return []System{
 		{ours.Name, ours.Run}, {knowing.Name, knowing.Run}, {firstCome.Name, firstCome.Run},
-		{sampling.Name, sampling.Run}, {atRandom.Name, atRandom.Run},
+		{sampling.Name, sampling.Run}, {"random, agent queue", atRandom},
+	}
+}
+
+// chooseAny picks any candidate, the same ones for the same seed.
+func chooseAny(seed uint64) dispatch.Choose {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	return func(all []dispatch.Candidate) int {
+		if len(all) == 0 {
+			return -1
+		}
+		return rng.IntN(len(all))
 	}
 }
 
