No home serves before it holds the highest configuration it knows of

Cause: an entry that joined could be settled before its first read of the configuration, or with a stale one, and refuse with it. Change: it is not settled until it has read the store once and holds what any other seat shows. The test failed on the state before (settled with nothing known).

--- a/entry/store.go
+++ b/entry/store.go
@@ -124,12 +124,12 @@
 // watchConfig keeps a watch on the operators' configuration.
 func (e *Entry) watchConfig(ctx context.Context) error {
 	return e.watch(ctx, configKey, func(v platform.Value) error {
-		if v.Revision == 0 {
-			return nil
-		}
-		d, err := config.Decode(v.Data)
-		if err != nil {
-			return err
+		var d config.Document
+		if v.Revision > 0 {
+			var err error
+			if d, err = config.Decode(v.Data); err != nil {
+				return err
+			}
 		}
 		e.do(func(now clock.Moment) home.Effects { return e.home.Configure(now, d) })
 		return nil
--- a/home/configure.go
+++ b/home/configure.go
@@ -6,10 +6,13 @@
 	"github.com/beaconpoint/beaconpoint/wire"
 )
 
-// Configure puts a configuration in force, if its revision is higher.
+// Configure puts a configuration from the store in force, if its revision is
+// higher. Until the first one, which may be empty, the home is not settled.
 func (h *Home) Configure(now clock.Moment, d config.Document) Effects {
 	h.now = now
+	h.configured = true
 	h.configure(d)
+	h.settle()
 	return h.drain()
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -165,8 +165,10 @@
 	members  map[string]*member
 	homes    int // entries that are home to any share
 	haveRead bool
-	leaving  bool
-	lost     bool
+	// configured says that the store's configuration was read once.
+	configured bool
+	leaving    bool
+	lost       bool
 	// agentsUntil is until when some registered agent has confirmed this
 	// home; it counts where no other seat can.
 	agentsUntil time.Duration
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -261,7 +261,7 @@
 // settle ends the gathering once nothing is missing.
 func (h *Home) settle() {
 	t := &h.take
-	if !t.pending || !h.Seated() {
+	if !t.pending || !h.Seated() || h.behindConfig() {
 		return
 	}
 	for _, s := range h.view.Seats {
@@ -288,6 +288,14 @@
 	h.retryPending()
 }
 
+// behindConfig reports whether a higher configuration is known to be in force.
+func (h *Home) behindConfig() bool {
+	return !h.configured || slices.ContainsFunc(h.view.Seats, func(s roster.Seat) bool {
+		l := h.links[s.ID]
+		return l != nil && l.config > h.config.Revision
+	})
+}
+
 func (h *Home) allCollected() bool {
 	return !slices.ContainsFunc(h.view.Agents, func(a roster.ID) bool { return !h.take.collected[a] })
 }
