--- a/cmd/beaconpoint/main.go
+++ b/cmd/beaconpoint/main.go
@@ -38,7 +38,9 @@
 func main() {
 	commands := []*command{
 		entryCommand(), agentCommand(), checkCommand(), demoCommand(),
-		submitCommand(), loadCommand(), experimentCommand(), codesCommand(), versionCommand(),
+		submitCommand(), loadCommand(), experimentCommand(),
+		planCommand(), confirmCommand(), drainCommand(), showCommand(), historyCommand(), statusCommand(),
+		codesCommand(), versionCommand(),
 	}
 	flaggy.SetName("beaconpoint")
 	flaggy.SetDescription("a dispatcher for sub-second tasks")
--- a/cmd/beaconpoint/roles.go
+++ b/cmd/beaconpoint/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -19,50 +20,47 @@
 	s.String(path, "s", "settings", "the YAML file with the process's settings")
 }
 
+// runner is a process of one role.
+type runner interface {
+	Run(context.Context) error
+}
+
 func entryCommand() *command {
-	var path string
-	c := &command{sub: newCommand("entry", "runs an entry: accepts jobs and decides where their tasks run")}
-	settingsFlag(c.sub, &path)
-	c.run = func(ctx context.Context) int {
-		cfg, exit := loadFor(path, wire.RoleEntry)
-		if exit != exitOK {
-			return exit
-		}
-		e, err := entry.NewEntry(cfg, newLog(cfg.LogLevel))
-		if err != nil {
-			return fault(exitFailed, err)
-		}
-		return serve(ctx, e.Run)
-	}
-	return c
+	return roleCommand(wire.RoleEntry, "runs an entry: accepts jobs and decides where their tasks run",
+		func(s settings.Settings, log *slog.Logger) (runner, error) { return entry.NewEntry(s, log) })
 }
 
 func agentCommand() *command {
+	return roleCommand(wire.RoleAgent, "runs an agent: guards and performs the starts at the target beside it",
+		func(s settings.Settings, log *slog.Logger) (runner, error) { return agent.NewAgent(s, log) })
+}
+
+// roleCommand runs a process of the role until it is told to stop.
+func roleCommand(role wire.Role, description string, build func(settings.Settings, *slog.Logger) (runner, error)) *command {
 	var path string
-	c := &command{sub: newCommand("agent", "runs an agent: guards and performs the starts at the target beside it")}
+	c := &command{sub: newCommand(string(role), description)}
 	settingsFlag(c.sub, &path)
 	c.run = func(ctx context.Context) int {
-		cfg, exit := loadFor(path, wire.RoleAgent)
+		cfg, exit := readSettings(path)
 		if exit != exitOK {
 			return exit
 		}
-		a, err := agent.NewAgent(cfg, newLog(cfg.LogLevel))
+		if cfg.Role != role {
+			return fault(exitUsage, fmt.Errorf("%s: these are the settings of an %s", path, cfg.Role))
+		}
+		p, err := build(cfg, newLog(cfg.LogLevel))
 		if err != nil {
 			return fault(exitFailed, err)
 		}
-		return serve(ctx, a.Run)
+		if err := p.Run(ctx); err != nil {
+			return fault(exitFailed, err)
+		}
+		return exitOK
 	}
 	return c
 }
 
-func serve(ctx context.Context, run func(context.Context) error) int {
-	if err := run(ctx); err != nil {
-		return fault(exitFailed, err)
-	}
-	return exitOK
-}
-
-// load reads the settings and prints every fault.
+// readSettings reads the settings and prints every fault.
 func readSettings(path string) (settings.Settings, int) {
 	if path == "" {
 		return settings.Settings{}, fault(exitUsage, errors.New("name the settings with --settings FILE"))
@@ -81,14 +79,6 @@
 	return cfg, exitOK
 }
 
-func loadFor(path string, role wire.Role) (settings.Settings, int) {
-	cfg, exit := readSettings(path)
-	if exit == exitOK && cfg.Role != role {
-		return cfg, fault(exitUsage, fmt.Errorf("%s: these are the settings of an %s", path, cfg.Role))
-	}
-	return cfg, exit
-}
-
 func checkCommand() *command {
 	var path string
 	c := &command{sub: newCommand("check", "checks a settings file and prints every fault with its line")}
