A doubt outlasts a longest expiry that is cut short

Cause: read while mending: a doubt lasts for the longest expiry in force, but jobs accepted under a longer one live on; with an entry and an agent lost right after the cut, such a job could be taken for a new one. Change: what was in force counts until its jobs have expired. The test failed before (2m0s for 5m0s) and passes.

--- a/home/configure.go
+++ b/home/configure.go
@@ -29,6 +29,8 @@
 	if d.Revision <= h.config.Revision {
 		return
 	}
+	before := h.longestExpiry()
+	h.longer, h.longerUntil = before, h.now.Mono+before+h.cfg.Skew
 	h.config = config.NewView(d)
 	h.out.Configured = true
 	h.countHomes()
--- a/home/home.go
+++ b/home/home.go
@@ -138,7 +138,11 @@
 	pending  []pending
 	members  map[string]*member
 	homes    int // entries that are home to any share
-	haveRead bool
+	// longer is the longest expiry that was in force until lately, and counts
+	// until the jobs that have it have expired.
+	longer      time.Duration
+	longerUntil time.Duration
+	haveRead    bool
 	// configured says that the store's configuration was read once.
 	configured bool
 	leaving    bool
--- a/home/protocol_test.go
+++ b/home/protocol_test.go
@@ -66,7 +66,7 @@
 	world.Resubmit, world.Wait, world.Wait, world.Kill, world.Kill, world.KillTwo, world.Restart, world.Restart,
 	world.Pause, world.Pause, world.Resume, world.Resume, world.Cut, world.Mend, world.Mend, world.Isolate,
 	world.Split, world.Split, world.CutEntries, world.Outage,
-	world.StoreBack, world.StoreBack, world.StoreSlow, world.LoseAnswers, world.Leave, world.Reshard,
+	world.StoreBack, world.StoreBack, world.StoreSlow, world.LoseAnswers, world.Leave, world.Reshard, world.Shorten, world.Shorten,
 }
 
 func drawStory(t *rapid.T) []step {
--- a/home/takeover.go
+++ b/home/takeover.go
@@ -288,10 +288,20 @@
 	return gone
 }
 
-// longestExpiry returns the longest expiry of any service.
+// longestExpiry returns the longest expiry that a job may have which was
+// accepted lately: of any service now, or before it was cut short. It is the
+// default at the least, since a home that has just joined knows of no before.
 func (h *Home) longestExpiry() time.Duration {
+	longest := longestOf(h.config)
+	if h.now.Mono < h.longerUntil {
+		longest = max(longest, h.longer)
+	}
+	return longest
+}
+
+func longestOf(c *config.View) time.Duration {
 	longest := config.DefaultLongestExpiry
-	for _, s := range h.config.Services {
+	for _, s := range c.Services {
 		longest = max(longest, s.Bounds.LongestExpiry())
 	}
 	return longest
--- a/testutil/world/act.go
+++ b/testutil/world/act.go
@@ -37,6 +37,7 @@
 	LoseAnswers
 	Leave
 	Reshard
+	Shorten
 	Acts // how many there are
 )
 
@@ -46,7 +47,7 @@
 // String returns the act's name, as counterexamples show it.
 func (a Act) String() string {
 	return [...]string{"submit", "resubmit", "resubmit-last", "wait", "kill", "kill-two", "restart", "pause", "resume", "cut",
-		"mend", "isolate", "split", "cut-entries", "isolate-entry", "pause-entry", "outage", "store-back", "store-slow", "lose-answers", "leave", "reshard"}[a]
+		"mend", "isolate", "split", "cut-entries", "isolate-entry", "pause-entry", "outage", "store-back", "store-slow", "lose-answers", "leave", "reshard", "shorten"}[a]
 }
 
 // Do performs an act; k chooses whom and what it is about.
@@ -144,7 +145,11 @@
 	case Leave:
 		w.leave(p)
 	case Reshard:
-		w.reshard(1 + w.rng.IntN(4))
+		w.shards = 1 + w.rng.IntN(4)
+		w.reconfigure()
+	case Shorten:
+		w.longest = []time.Duration{longest, shortLife}[w.rng.IntN(2)]
+		w.reconfigure()
 	}
 }
 
@@ -304,15 +309,14 @@
 	}
 }
 
-// reshard puts another number of shares in force at one entry, from where it
+// reconfigure puts the next configuration in force at one entry, from where it
 // spreads.
-func (w *World) reshard(n int) {
+func (w *World) reconfigure() {
 	entries := w.entries()
 	if len(entries) == 0 {
 		return
 	}
 	w.revision++
-	w.shards = n
 	p := entries[w.rng.IntN(len(entries))]
 	d := w.document()
 	w.handle(p, p.id, func() { w.apply(p, p.home.Configure(w.moment(p), d)) })
--- a/testutil/world/world.go
+++ b/testutil/world/world.go
@@ -81,6 +81,7 @@
 	// revision and shards are the configuration's.
 	revision uint64
 	shards   int
+	longest  time.Duration
 	// Trace takes every frame, for looking into a counterexample.
 	Trace func(string, ...any)
 }
@@ -144,6 +145,7 @@
 
 		revision: 1,
 		shards:   cfg.Shards,
+		longest:  longest,
 	}
 	for k := range cfg.Agents {
 		w.procs = append(w.procs, &process{name: fmt.Sprintf("agent%d", k), role: wire.RoleAgent})
@@ -228,7 +230,7 @@
 }
 
 func (w *World) document() config.Document {
-	s := config.Service{Name: service, Bounds: config.Bounds{LongestExpiryMS: longest.Milliseconds(), Queue: queue}}
+	s := config.Service{Name: service, Bounds: config.Bounds{LongestExpiryMS: w.longest.Milliseconds(), Queue: queue}}
 	for _, p := range w.procs {
 		if p.role == wire.RoleAgent {
 			s.Targets = append(s.Targets, config.Target{Name: p.name, Agent: p.name, Slots: 2, Connections: 8})
