The host list is read each second; a takeover's messages counted

Cause: a target that leaves by the host list's word could get new work for 3 s and the list's lag; the issue wants 2 s. Late replies of homes are counted as late; a target's slots are checked in the test of the path.

--- a/entry/store.go
+++ b/entry/store.go
@@ -23,7 +23,7 @@
 	// storeBackoff is how long a failed call is followed by none, about.
 	storeBackoff = 500 * time.Millisecond
 	// hostsInterval is how often the host list is read.
-	hostsInterval = 2 * time.Second
+	hostsInterval = time.Second
 )
 
 // post hands work to the store's worker. When too much waits the work is not
--- a/home/submit.go
+++ b/home/submit.go
@@ -199,6 +199,7 @@
 func (h *Home) replied(m wire.Reply) {
 	f := h.forwards[m.Ticket]
 	if f == nil || m.Answer.ID != f.sub.Job.ID {
+		h.stats.LateResults++
 		return
 	}
 	delete(h.forwards, m.Ticket)
--- a/trials/outage_test.go
+++ b/trials/outage_test.go
@@ -46,6 +46,8 @@
 func TestTakeoverTime(t *testing.T) {
 	c := cluster.Start(t, threeByThree())
 	var times []time.Duration
+	var frames uint64
+	var calls int
 	for k := range *takeovers {
 		h := homeOf(t, c, fmt.Sprintf("find-%d", k))
 		other := (h + 1) % len(c.Entries)
@@ -57,6 +59,7 @@
 			answered <- a
 		}()
 		time.Sleep(100 * time.Millisecond)
+		framesBefore, callsBefore := framesOf(t, c, h), callsOf(c)
 		began := time.Now()
 		c.Entries[h].Kill()
 		j := jobOf(fmt.Sprintf("after-%d", k), 1, 0)
@@ -70,6 +73,8 @@
 			time.Sleep(time.Duration(a.RetryAfterMS) * time.Millisecond)
 		}
 		times = append(times, time.Since(began))
+		frames += framesOf(t, c, h) - framesBefore
+		calls += callsOf(c) - callsBefore
 		assertWhole(t, running, <-answered)
 		c.Begin(c.Entries[h])
 		c.UntilReady()
@@ -77,8 +82,31 @@
 	slices.Sort(times)
 	doubled, _ := c.Doubled()
 	assert.Equal(t, len(doubled), 0)
-	t.Logf("%d takeovers at a lease of 3 s: median %d ms, worst %d ms; the running job of 30 tasks was finished each time",
-		len(times), times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds())
+	t.Logf("%d takeovers at a lease of 3 s: median %d ms, worst %d ms; the running job of 30 tasks was finished each time; "+
+		"frames of both other entries %.0f, store calls %.1f each, heartbeats, the jobs' own and watches included",
+		len(times), times[len(times)/2].Milliseconds(), times[len(times)-1].Milliseconds(),
+		float64(frames)/float64(len(times)), float64(calls)/float64(len(times)))
+}
+
+// framesOf sums up the frames of all entries but one.
+func framesOf(t *testing.T, c *cluster.Cluster, but int) uint64 {
+	t.Helper()
+	sum := uint64(0)
+	for k := range c.Entries {
+		if k == but {
+			continue
+		}
+		s, err := c.Operator(k).Status(context.Background())
+		assert.NilError(t, err)
+		sum += s.Frames
+	}
+	return sum
+}
+
+// callsOf returns how many calls the store has had.
+func callsOf(c *cluster.Cluster) int {
+	s := c.Store.Calls()
+	return int(s.Reads + s.Writes + s.Watches + s.Hosts)
 }
 
 // TestJobsRunOnInAStoreOutage takes the store away for the whole of a load, then
--- a/trials/path_test.go
+++ b/trials/path_test.go
@@ -74,6 +74,9 @@
 	doubled, starts := c.Doubled()
 	assert.Equal(t, len(doubled), 0, "%v", doubled)
 	assert.Equal(t, starts, tasks)
+	for _, target := range c.Targets {
+		assert.Assert(t, target.Peak() <= 8, "%d tasks at once", target.Peak())
+	}
 }
 
 // call is one line of a golden session.
