An answer that no frame can carry is a failure

Cause: read while mending: 1,200 outputs of up to 1 MB make a reply larger than a frame; the writer then cuts the connection between two entries, the submission is forwarded again over the next one, and so on. Change: a job's outputs are 6 MB together at the most; beyond it fails with 407, ran yes. The test failed before (the answer was complete) and passes.

--- a/code/code.go
+++ b/code/code.go
@@ -57,6 +57,7 @@
 	AnswerDropped Code = 404
 	Running       Code = 405
 	TargetLost    Code = 406
+	AnswerLarge   Code = 407
 )
 
 // Codes of the operators' interface (5xx).
--- a/code/table.go
+++ b/code/table.go
@@ -44,6 +44,7 @@
 	{AnswerDropped, "answer-dropped", http.StatusGone, "The job ran; its answer is no longer held."},
 	{Running, "running", http.StatusAccepted, "The job is accepted and not finished yet."},
 	{TargetLost, "target-lost", http.StatusBadGateway, "The target closed the connection without an answer; the task may have run."},
+	{AnswerLarge, "answer-too-large", http.StatusBadGateway, "The tasks' outputs together are larger than an answer may be."},
 
 	{Unauthorized, "unauthorized", http.StatusUnauthorized, "The bearer token is missing or unknown."},
 	{Forbidden, "forbidden", http.StatusForbidden, "The bearer token does not allow this call."},
--- a/home/place.go
+++ b/home/place.go
@@ -202,9 +202,13 @@
 	case wire.Done:
 		r.began = true
 		r.tasks[m.Key.Index] = task{phase: done, output: m.Output}
+		r.outputs += len(m.Output)
 		r.unfinished--
 		h.service(r.sub.Service).drain.note(h.now.Mono)
-		if r.unfinished == 0 {
+		switch {
+		case r.outputs > beaconpoint.MaxAnswer:
+			h.fail(r, code.AnswerLarge, "the tasks' outputs together are too large")
+		case r.unfinished == 0:
 			h.finish(r, r.complete())
 		}
 	case wire.NotRun:
--- a/home/record.go
+++ b/home/record.go
@@ -41,6 +41,7 @@
 	unfinished int
 	began      bool // a task is known to have been started
 	answer     beaconpoint.Answer
+	outputs    int // bytes, of the tasks that are done
 	size       int
 	waiters    []waiter
 	since      time.Duration
--- a/home/retry_test.go
+++ b/home/retry_test.go
@@ -58,3 +58,29 @@
 	assert.Assert(t, s.Retries <= 10+s.Starts/10+1, "%+v", s)
 	assert.Assert(t, failed > 0, "the budget is never used up")
 }
+
+// An answer that no frame can carry would cut the connection to the entry that
+// asked for it, again and again.
+func TestAnswerThatNoFrameCarriesIsAFailure(t *testing.T) {
+	x := newBench(t, config.Member{Name: "m"}, config.Bounds{})
+	x.n++
+	j := beaconpoint.Job{ID: "large", Member: "m"}
+	const tasks = 7
+	for k := range tasks {
+		j.Tasks = append(j.Tasks, beaconpoint.Task{ID: fmt.Sprint(k)})
+	}
+	sub, err := job.New("trackd", j)
+	assert.NilError(t, err)
+	var out home.Effects
+	x.h.Submit(x.now, x.n, sub)
+	for k := range tasks {
+		out = x.receive(roster.NewID("worker", 1), wire.Result{
+			Key: wire.TaskKey{Job: "trackd/large", Index: k}, Status: wire.Done, Output: make([]byte, 1<<20), Window: 2,
+		})
+	}
+	assert.Equal(t, len(out.Answers), 1)
+	a := out.Answers[0].Answer
+	assert.Equal(t, a.Name, "answer-too-large")
+	assert.Equal(t, a.Ran, beaconpoint.RanYes)
+	assert.Equal(t, len(a.Results), 0)
+}
--- a/job.go
+++ b/job.go
@@ -13,6 +13,8 @@
 	MaxTasks = 1200
 	// MaxBody is the largest body of a submission, in bytes.
 	MaxBody = 4 << 20
+	// MaxAnswer is the largest sum of a job's outputs, in bytes.
+	MaxAnswer = 6 << 20
 	// MaxID is the longest id of a job, task or request, in bytes.
 	MaxID = 128
 )
