A member that floods leaves the others their share of the slots

Change: the first job is sought among members with fewer tasks running than an even share of the slots. Conclusion: quotas bound a member, shares keep it from starving others.

--- a/cmd/beaconpoint/experiment.go
+++ b/cmd/beaconpoint/experiment.go
@@ -13,6 +13,9 @@
 // loads are those that the experiment compares at.
 var loads = []float64{0.5, 0.8, 0.95}
 
+// floodJobs bounds the quiet member's jobs beside a flood.
+const floodJobs = 600
+
 func experimentCommand() *command {
 	jobs, seed, dir := 2000, uint64(1), ""
 	c := &command{sub: newCommand("experiment", "compares the policy with its baselines in virtual time")}
@@ -39,6 +42,9 @@
 	bursty := w
 	bursty.Burst, bursty.BurstFor = 5, 10*time.Second
 	bursts := experiment.Compare(experiment.Systems()[:2], loads[:1], bursty)
+	few := w
+	few.Jobs = min(jobs, floodJobs) // a flood has many times as many
+	floods := experiment.Compare(experiment.Floods(few), []float64{0.3}, few)
 	overload := experiment.Compare(experiment.Overloads(), []float64{2, 5}, w)
 	out := os.Stdout
 	if dir != "" {
@@ -53,7 +59,10 @@
 	for _, part := range []struct {
 		title string
 		rows  []experiment.Row
-	}{{"Common load", rows}, {"Under trouble", troubled}, {"A burst of 5 times the load for 10 s", bursts}} {
+	}{
+		{"Common load", rows}, {"Under trouble", troubled}, {"A burst of 5 times the load for 10 s", bursts},
+		{"A quiet member beside a flooding one", floods},
+	} {
 		fmt.Fprintf(out, "## %s\n\n", part.title)
 		if err := experiment.WriteTable(out, part.rows); err != nil {
 			return err
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -10,8 +10,9 @@
 
 // Item is a job with tasks that wait for a start.
 type Item struct {
-	// Job is the job's id.
-	Job string
+	// Job is the job's id, Member the one it counts on.
+	Job    string
+	Member string
 	// Unstarted is how many of its tasks wait.
 	Unstarted int
 	// Since is when it was accepted, on the home's clock.
@@ -46,48 +47,79 @@
 	return float64(i.Unstarted) + float64(i.Since)/float64(ageing)
 }
 
-// Queue holds the waiting jobs of one service in the order of a policy.
+// Queue holds the waiting jobs of one service, each member's in the order of a
+// policy.
 type Queue struct {
-	order Order
-	items itemHeap
-	byJob map[string]*Item
-	tasks int
+	order   Order
+	members map[string]*itemHeap
+	byJob   map[string]*Item
+	tasks   int
 }
 
 // NewQueue returns an empty queue in the given order.
 func NewQueue(order Order) *Queue {
-	return &Queue{order: order, byJob: make(map[string]*Item)}
+	return &Queue{order: order, members: make(map[string]*itemHeap), byJob: make(map[string]*Item)}
 }
 
-// Put adds a job, or sets its unstarted tasks; none takes it out.
-func (q *Queue) Put(job string, unstarted int, since time.Duration) {
+// Put adds a member's job, or sets its unstarted tasks; none takes it out.
+func (q *Queue) Put(job, member string, unstarted int, since time.Duration) {
 	i := q.byJob[job]
 	switch {
 	case i == nil && unstarted > 0:
-		i = &Item{Job: job, Unstarted: unstarted, Since: since}
+		i = &Item{Job: job, Member: member, Unstarted: unstarted, Since: since}
 		i.rank = q.order(i)
 		q.byJob[job] = i
 		q.tasks += unstarted
-		heap.Push(&q.items, i)
+		if q.members[member] == nil {
+			q.members[member] = &itemHeap{}
+		}
+		heap.Push(q.members[member], i)
 	case i == nil:
 	case unstarted == 0:
 		q.tasks -= i.Unstarted
 		delete(q.byJob, job)
-		heap.Remove(&q.items, i.index)
+		heap.Remove(q.members[i.Member], i.index)
+		if q.members[i.Member].Len() == 0 {
+			delete(q.members, i.Member)
+		}
 	default:
 		q.tasks += unstarted - i.Unstarted
 		i.Unstarted = unstarted
 		i.rank = q.order(i)
-		heap.Fix(&q.items, i.index)
+		heap.Fix(q.members[i.Member], i.index)
 	}
 }
 
-// First returns the job whose task goes next.
-func (q *Queue) First() (Item, bool) {
-	if len(q.items) == 0 {
-		return Item{}, false
+// First returns the job whose task goes next: the first of those members that
+// are not over their share, or of all where each is.
+func (q *Queue) First(over func(member string) bool) (Item, bool) {
+	var best, within *Item
+	for member, items := range q.members {
+		i := (*items)[0]
+		if best == nil || i.before(best) {
+			best = i
+		}
+		if (within == nil || i.before(within)) && !over(member) {
+			within = i
+		}
 	}
-	return *q.items[0], true
+	switch {
+	case within != nil:
+		return *within, true
+	case best != nil:
+		return *best, true
+	}
+	return Item{}, false
+}
+
+// Waits reports whether the member has jobs that wait.
+func (q *Queue) Waits(member string) bool {
+	return q.members[member] != nil
+}
+
+// Members returns how many members have jobs that wait.
+func (q *Queue) Members() int {
+	return len(q.members)
 }
 
 // Tasks returns how many tasks wait.
@@ -97,18 +129,24 @@
 
 // Jobs returns how many jobs wait.
 func (q *Queue) Jobs() int {
-	return len(q.items)
+	return len(q.byJob)
 }
 
 type itemHeap []*Item
 
 func (h itemHeap) Len() int { return len(h) }
 
-func (h itemHeap) Less(i, j int) bool {
-	if h[i].rank != h[j].rank {
-		return h[i].rank < h[j].rank
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+// before orders items by rank, then by age and name.
+func (i *Item) before(o *Item) bool {
+	if i.rank != o.rank {
+		return i.rank < o.rank
+	}
+	if i.Since != o.Since {
+		return i.Since < o.Since
 	}
-	return h[i].Since < h[j].Since
+	return i.Job < o.Job
 }
 
 func (h itemHeap) Swap(i, j int) {
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -43,3 +43,16 @@
 		assert.Equal(t, obeying.Unanswered, 0)
 	}
 }
+
+// A member that floods with jobs that the order prefers leaves a quiet one its
+// share of the slots.
+func TestFloodLeavesAQuietMemberItsShare(t *testing.T) {
+	w := DefaultWorkload(300, 3)
+	rows := Compare(Floods(w), []float64{0.3}, w)
+	var table bytes.Buffer
+	assert.NilError(t, WriteTable(&table, rows))
+	alone, beside := rows[0], rows[1]
+	assert.Equal(t, beside.Unanswered, 0, "\n%s", &table)
+	assert.Assert(t, beside.Mean() <= 1.3*alone.Mean(), "\n%s", &table)
+	assert.Assert(t, beside.Quantile(99) <= 3*alone.Quantile(99), "\n%s", &table)
+}
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -40,6 +40,8 @@
 	// back until it is over: after FixedRetry or, without it, when told to.
 	Expiry     time.Duration
 	FixedRetry time.Duration
+	// Beside is another member's workload, which is not counted.
+	Beside *Workload
 	// Slow is how many times longer tasks run on the first worker; zero or
 	// one for the common pace.
 	Slow float64
@@ -89,6 +91,12 @@
 		r.jobs[j.id] = j
 		r.q.After(j.at, func() { r.submit(j) })
 	}
+	if f.Beside != nil {
+		for _, j := range f.Beside.generate() {
+			r.jobs[j.id] = j
+			r.q.After(j.at, func() { r.submit(j) })
+		}
+	}
 	if f.LoseAt > 0 {
 		r.q.After(f.LoseAt, func() { r.lose(f.Homes + f.Workers - 1) })
 	}
@@ -155,7 +163,7 @@
 			Name: fmt.Sprintf("worker%02d", k), Agent: "fake", Slots: r.fleet.Slots, Connections: 64,
 		})
 	}
-	return config.Document{Revision: 1, Services: []config.Service{s}, Members: []config.Member{{Name: member}}}
+	return config.Document{Revision: 1, Services: []config.Service{s}, Members: []config.Member{{Name: member}, {Name: floodMember}}}
 }
 
 func (r *run) tick(k int) {
@@ -189,6 +197,9 @@
 // while there is time.
 func (r *run) answered(j *work, a home.Answered) {
 	delete(r.asked, a.Ticket)
+	if r.fleet.Beside != nil && j.sub.Job.Member == r.fleet.Beside.Member {
+		return
+	}
 	switch a.Answer.State {
 	case beaconpoint.Complete:
 		r.left--
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -34,6 +34,8 @@
 	// the jobs.
 	Burst    float64
 	BurstFor time.Duration
+	// Member is whose jobs they are; empty for the common one.
+	Member string
 }
 
 // Lengths of tasks: most between shortest and longest, longShare of several
@@ -88,8 +90,12 @@
 
 func (w Workload) job(rng *rand.Rand, k int, at time.Duration) *work {
 	size := int(math.Exp(rng.Float64() * math.Log(float64(w.LargestJob)+1)))
-	j := &work{id: fmt.Sprintf("j%d", k), at: at}
-	spec := beaconpoint.Job{ID: j.id, Member: member}
+	owner := w.Member
+	if owner == "" {
+		owner = member
+	}
+	j := &work{id: fmt.Sprintf("%s-%d", owner, k), at: at}
+	spec := beaconpoint.Job{ID: j.id, Member: owner}
 	for i := range size {
 		d := shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
 		if rng.Float64() < longShare {
--- a/home/home.go
+++ b/home/home.go
@@ -166,6 +166,8 @@
 	queue  *dispatch.Queue
 	agents []*link
 	drain  drainRate
+	// running counts each member's tasks that agents hold.
+	running map[string]int
 }
 
 // forward is a submission that another seat answers.
--- a/home/link.go
+++ b/home/link.go
@@ -43,6 +43,7 @@
 	seq    uint64
 	sentAt time.Duration
 	asked  time.Duration // when it was last sent or asked after
+	member string
 	await  bool
 }
 
--- a/home/place.go
+++ b/home/place.go
@@ -28,12 +28,37 @@
 func (h *Home) service(name string) *service {
 	s := h.services[name]
 	if s == nil {
-		s = &service{queue: dispatch.NewQueue(h.policy.Order)}
+		s = &service{queue: dispatch.NewQueue(h.policy.Order), running: make(map[string]int)}
 		h.services[name] = s
 	}
 	return s
 }
 
+// overShare returns whether a member has as many tasks running as its even
+// share of the slots. It counts only where several members want them.
+func (s *service) overShare() func(member string) bool {
+	slots := 0
+	for _, l := range s.agents {
+		slots += l.slots
+	}
+	wanting := s.queue.Members()
+	for member := range s.running {
+		if !s.queue.Waits(member) {
+			wanting++
+		}
+	}
+	share := slots / max(wanting, 1)
+	return func(member string) bool { return s.running[member] >= share }
+}
+
+// ended counts a member's task as not running any more.
+func (s *service) ended(member string) {
+	s.running[member]--
+	if s.running[member] <= 0 {
+		delete(s.running, member)
+	}
+}
+
 func (s *service) remove(l *link) {
 	s.agents = slices.DeleteFunc(s.agents, func(o *link) bool { return o == l })
 }
@@ -53,7 +78,7 @@
 
 // enqueue puts a job's waiting tasks into its service's queue.
 func (h *Home) enqueue(r *record) {
-	h.service(r.sub.Service).queue.Put(r.key, len(r.order), r.since)
+	h.service(r.sub.Service).queue.Put(r.key, r.sub.Job.Member, len(r.order), r.since)
 }
 
 // pump starts waiting tasks while an agent can take one.
@@ -63,8 +88,9 @@
 		return
 	}
 	places, links := h.candidates(s)
+	over := s.overShare()
 	for {
-		item, ok := s.queue.First()
+		item, ok := s.queue.First(over)
 		if !ok {
 			return
 		}
@@ -78,6 +104,7 @@
 			continue
 		}
 		places[k].Outstanding++
+		s.running[item.Member]++
 		h.startNext(links[k], r)
 	}
 }
@@ -134,14 +161,15 @@
 		Key: key, TaskID: t.ID, Digest: r.digest, Service: r.sub.Service,
 		Payload: t.Payload, Expiry: r.expiry, Raw: r.sub.Single,
 	})
-	l.starts[key] = &start{seq: seq, sentAt: h.now.Mono, asked: h.now.Mono}
+	l.starts[key] = &start{seq: seq, sentAt: h.now.Mono, asked: h.now.Mono, member: r.sub.Job.Member}
 }
 
 func (h *Home) await(l *link, r *record, k int) {
 	key := wire.TaskKey{Job: r.key, Index: k}
 	h.stats.Awaits++
 	seq := h.send(l, wire.Await{Key: key})
-	l.starts[key] = &start{seq: seq, sentAt: h.now.Mono, asked: h.now.Mono, await: true}
+	l.starts[key] = &start{seq: seq, sentAt: h.now.Mono, asked: h.now.Mono, member: r.sub.Job.Member, await: true}
+	h.service(r.sub.Service).running[r.sub.Job.Member]++
 }
 
 // resend asks again for everything that l has not answered, over a new
@@ -181,7 +209,7 @@
 		h.stats.LateResults++
 		return
 	}
-	delete(l.starts, m.Key)
+	h.drop(l, m.Key)
 	if refusal {
 		h.stats.Refusals++
 		h.rest(l, m.Code)
@@ -196,6 +224,13 @@
 	h.pump(l.service)
 }
 
+// drop forgets a start that is answered or given up.
+func (h *Home) drop(l *link, key wire.TaskKey) {
+	s := l.starts[key]
+	delete(l.starts, key)
+	h.service(key.Service()).ended(s.member)
+}
+
 // ended applies a task's result to its job.
 func (h *Home) ended(r *record, m wire.Result) {
 	switch m.Status {
@@ -242,7 +277,7 @@
 		return
 	}
 	for _, key := range sortedTasks(l.starts) {
-		delete(l.starts, key)
+		h.drop(l, key)
 		r := h.records[key.Job]
 		if r != nil && r.state == beaconpoint.Running && r.tasks[key.Index].agent == l.id {
 			h.loseTask(r, key.Index)
@@ -253,7 +288,7 @@
 // startAgain is what lose must not do; tests show it.
 func (h *Home) startAgain(l *link) {
 	for _, key := range sortedTasks(l.starts) {
-		delete(l.starts, key)
+		h.drop(l, key)
 		if r := h.records[key.Job]; r != nil && r.state == beaconpoint.Running {
 			r.again(key.Index)
 			h.enqueue(r)
--- a/wire/message.go
+++ b/wire/message.go
@@ -140,6 +140,11 @@
 	return fmt.Sprintf("%s/%d", k.Job, k.Index)
 }
 
+// Service returns the service of the key's job.
+func (k TaskKey) Service() string {
+	return k.Job[:max(strings.LastIndexByte(k.Job, '/'), 0)]
+}
+
 // Compare orders keys by job and index.
 func (k TaskKey) Compare(o TaskKey) int {
 	if c := strings.Compare(k.Job, o.Job); c != 0 {
