A queue's drain rate is that of its slots, not of its load

Cause: read while mending: the rate was what had finished lately, so a service with little to do seemed slow, and a large job that its free slots could take was refused as unable to meet its expiry. Change: slots over the mean time of a task, without the bounds that a time to come back has. The test failed before (204 for a job of 4 s with 20 s to live) and passes.

--- a/home/drain.go
+++ b/home/drain.go
@@ -2,55 +2,50 @@
 
 import "time"
 
-// drainRate measures how fast a queue drains, over the last few seconds.
+// drainRate tells how fast a queue drains when every slot is busy: by the slots
+// and the mean time of a task. What finished lately would tell of the load.
 type drainRate struct {
-	began time.Duration
-	last  time.Duration
-	count float64
+	mean    time.Duration
+	samples int
+	slots   int
 	// turn is when the last one that was told to come back has been served,
 	// if all come back when told.
 	turn time.Duration
 }
 
-// rateWindow is how far back a rate looks.
-const rateWindow = 4 * time.Second
-
-// drainKnown is how many tasks make a rate known.
-const drainKnown = 32
+// Bounds of a drain rate.
+const (
+	drainWeight = 64 // tasks that the mean looks back
+	drainKnown  = 32 // tasks that make it known
+)
 
-// note counts one finished task.
-func (r *drainRate) note(now time.Duration) {
-	if r.count == 0 {
-		r.began = now
-	}
-	if span := now - r.began; span > rateWindow {
-		r.count /= 2
-		r.began += span / 2
+// note takes one finished task's time.
+func (r *drainRate) note(d time.Duration) {
+	r.samples++
+	if r.samples == 1 {
+		r.mean = d
+		return
 	}
-	r.count++
-	r.last = now
+	r.mean += (d - r.mean) / drainWeight
 }
 
 // known reports whether enough was seen for an estimate.
 func (r *drainRate) known() bool {
-	return r.count >= drainKnown
+	return r.samples >= drainKnown && r.slots > 0
 }
 
-// perSecond returns the finished tasks a second; zero when none were seen.
-func (r *drainRate) perSecond() float64 {
-	span := max(r.last-r.began, 100*time.Millisecond)
-	return r.count / span.Seconds()
+// drainTime returns how long n tasks take on all slots; zero when not known.
+func (r *drainRate) drainTime(n int) time.Duration {
+	if !r.known() {
+		return 0
+	}
+	return time.Duration(n) * r.mean / time.Duration(r.slots)
 }
 
-// timeFor returns how long n tasks take to drain, within the bounds of a time
-// to come back.
+// timeFor returns how long n tasks take, within the bounds of a time to come
+// back.
 func (r *drainRate) timeFor(n int) time.Duration {
-	perSecond := r.perSecond()
-	if perSecond == 0 {
-		return shortestRetry
-	}
-	wait := time.Duration(float64(n) / perSecond * float64(time.Second))
-	return min(max(wait, shortestRetry), longestRetry)
+	return min(max(r.drainTime(n), shortestRetry), longestRetry)
 }
 
 // turnFor returns when a job of n tasks should come back: after those that were
--- a/home/judge.go
+++ b/home/judge.go
@@ -123,7 +123,8 @@
 		s.drain.roomAgain()
 	}
 	left := h.left(sub.Deadline)
-	if wait := s.drain.timeFor(queued + n); queued > 0 && wait > left {
+	s.countSlots()
+	if wait := s.drain.drainTime(queued + n); wait > left {
 		return refusal{code.CannotMeetExpiry, "the queue is longer than the job's expiry allows", s.drain.turnFor(h.now.Mono, n)}, false
 	}
 	return h.admitQuota(m, n, &s.drain)
--- a/home/place.go
+++ b/home/place.go
@@ -34,20 +34,26 @@
 	return s
 }
 
+// countSlots counts the slots of the agents that can be reached.
+func (s *service) countSlots() {
+	s.drain.slots = 0
+	for _, l := range s.agents {
+		if l.up {
+			s.drain.slots += l.slots
+		}
+	}
+}
+
 // overShare returns whether a member has as many tasks running as its even
 // share of the slots. It counts only where several members want them.
 func (s *service) overShare() func(member string) bool {
-	slots := 0
-	for _, l := range s.agents {
-		slots += l.slots
-	}
 	wanting := s.queue.Members()
 	for member := range s.running {
 		if !s.queue.Waits(member) {
 			wanting++
 		}
 	}
-	share := slots / max(wanting, 1)
+	share := s.drain.slots / max(wanting, 1)
 	return func(member string) bool { return s.running[member] >= share }
 }
 
@@ -88,6 +94,7 @@
 		return
 	}
 	places, links := h.candidates(s)
+	s.countSlots()
 	over := s.overShare()
 	for {
 		item, ok := s.queue.First(over)
@@ -113,7 +120,7 @@
 // before its expiry, even if it were served alone from now on.
 func (h *Home) tooLate(s *service, r *record) bool {
 	untouched := !r.began && len(r.order) == len(r.tasks)
-	return untouched && s.drain.known() && s.drain.timeFor(len(r.tasks)) > h.left(r.expiry)
+	return untouched && s.drain.drainTime(len(r.tasks)) > h.left(r.expiry)
 }
 
 // refuseLate gives up on a job before its first task, as not run.
@@ -216,6 +223,7 @@
 	} else {
 		h.stats.Results++
 		l.pace.note(h.now.Mono - s.sentAt)
+		h.service(m.Key.Service()).drain.note(h.now.Mono - s.sentAt)
 	}
 	r := h.records[m.Key.Job]
 	if r != nil && r.state == beaconpoint.Running && r.tasks[m.Key.Index].phase == sent && r.tasks[m.Key.Index].agent == l.id {
@@ -239,7 +247,6 @@
 		r.tasks[m.Key.Index] = task{phase: done, output: m.Output}
 		r.outputs += len(m.Output)
 		r.unfinished--
-		h.service(r.sub.Service).drain.note(h.now.Mono)
 		switch {
 		case r.outputs > beaconpoint.MaxAnswer:
 			h.fail(r, code.AnswerLarge, "the tasks' outputs together are too large")
