Exit codes by kind in status; a service's pace is the one kind of pace

The drain rate kept a mean of its own beside pace. A trial's submissions beside a caller's own were not waited for, so what they were told late was not checked. Change: refused calls exit 3 in status as elsewhere; drainRate uses pace; trials wait for every submission before they check.

--- a/cmd/beaconpoint/operate.go
+++ b/cmd/beaconpoint/operate.go
@@ -66,17 +66,20 @@
 
 // problemExit prints a failed call and returns the exit code of its kind.
 func problemExit(err error) int {
+	return fault(exitOf(err), err)
+}
+
+// exitOf returns the exit code of a failed call's kind.
+func exitOf(err error) int {
 	switch code.Of(err, code.OK) {
-	case code.OK:
-		return fault(exitUnreachable, err)
+	case code.OK, code.StoreDown:
+		return exitUnreachable
 	case code.PlanStale:
-		return fault(exitConflict, err)
+		return exitConflict
 	case code.ChangeUnknown:
-		return fault(exitUnknown, err)
-	case code.StoreDown:
-		return fault(exitUnreachable, err)
+		return exitUnknown
 	}
-	return fault(exitRefused, err)
+	return exitRefused
 }
 
 func planCommand() *command {
@@ -269,7 +272,7 @@
 			base := strings.Split(o.entries, ",")[k]
 			s, err := client.Status(ctx)
 			if err != nil {
-				exit = exitUnreachable
+				exit = exitOf(err)
 				all[base] = err.Error()
 				fmt.Fprintf(&text, "%s: %v\n", base, err)
 				continue
--- a/home/drain.go
+++ b/home/drain.go
@@ -5,33 +5,16 @@
 // drainRate tells how fast a queue drains when every slot is busy: by the slots
 // and the mean time of a task. What finished lately would tell of the load.
 type drainRate struct {
-	mean    time.Duration
-	samples int
-	slots   int
+	tasks pace
+	slots int
 	// turn is when the last one that was told to come back has been served,
 	// if all come back when told.
 	turn time.Duration
 }
 
-// Bounds of a drain rate.
-const (
-	drainWeight = 64 // tasks that the mean looks back
-	drainKnown  = 32 // tasks that make it known
-)
-
-// note takes one finished task's time.
-func (r *drainRate) note(d time.Duration) {
-	r.samples++
-	if r.samples == 1 {
-		r.mean = d
-		return
-	}
-	r.mean += (d - r.mean) / drainWeight
-}
-
 // known reports whether enough was seen for an estimate.
 func (r *drainRate) known() bool {
-	return r.samples >= drainKnown && r.slots > 0
+	return r.tasks.samples >= paceSamples && r.slots > 0
 }
 
 // drainTime returns how long n tasks take on all slots; zero when not known.
@@ -39,7 +22,7 @@
 	if !r.known() {
 		return 0
 	}
-	return time.Duration(n) * r.mean / time.Duration(r.slots)
+	return time.Duration(n) * r.tasks.mean / time.Duration(r.slots)
 }
 
 // timeFor returns how long n tasks take, within the bounds of a time to come
@@ -60,7 +43,7 @@
 	r.turn = 0
 }
 
-// pace measures how long a target takes for a task.
+// pace measures how long tasks take, of one target or of a service.
 type pace struct {
 	mean    time.Duration
 	samples int
--- a/home/place.go
+++ b/home/place.go
@@ -223,7 +223,7 @@
 	} else {
 		h.stats.Results++
 		l.pace.note(h.now.Mono - s.sentAt)
-		h.service(m.Key.Service()).drain.note(h.now.Mono - s.sentAt)
+		h.service(m.Key.Service()).drain.tasks.note(h.now.Mono - s.sentAt)
 	}
 	r := h.records[m.Key.Job]
 	if r != nil && r.state == beaconpoint.Running && r.tasks[m.Key.Index].phase == sent && r.tasks[m.Key.Index].agent == l.id {
--- a/trials/failure_test.go
+++ b/trials/failure_test.go
@@ -189,8 +189,10 @@
 type watch struct {
 	mu sync.Mutex
 	tally
-	notRun map[string]time.Time // when a job's attempt began that was called not run
-	ran    map[string]bool      // jobs with an answer that does not say so
+	// besides are the submissions made beside a caller's own.
+	besides sync.WaitGroup
+	notRun  map[string]time.Time // when a job's attempt began that was called not run
+	ran     map[string]bool      // jobs with an answer that does not say so
 }
 
 func trial(t *testing.T, f failure, seed uint64) tally {
@@ -210,6 +212,7 @@
 	time.Sleep(calmAfter)
 	stop()
 	all.Wait()
+	w.besides.Wait()
 	c.UntilReady()
 	w.check(t, c)
 	return w.tally
@@ -232,7 +235,7 @@
 	for range attempts {
 		k := rng.IntN(len(c.Entries))
 		if rng.IntN(4) == 0 {
-			go w.submit(t, c, (k+1)%len(c.Entries), j)
+			w.besides.Go(func() { w.submit(t, c, (k+1)%len(c.Entries), j) })
 		}
 		a, ok := w.submit(t, c, k, j)
 		final := ok && (a.State != beaconpoint.Refused || a.Ran == beaconpoint.RanYes)
