Store calls soon and long by turns; slimmer, rarer states; holds back off

Of the 14 processes seven began 10 to 50 ms before the store was back; each of their calls was lost and took 900 ms to be given up and 200 to 500 ms more to be repeated, so that two of three entries had no list of agents until 39.1 s and seven agents did not know the entries until 39.4 s, while others were served from 38.1 s on. 57 requests of the first 0.18 s got 503 for want of a configuration that was on its way. Ruled out: the agents' restart (serving 50 ms after their start), the worker's next heartbeat (30 ms).

Change: the tries of a row take 250, 500 and 900 ms by turns, so that a call lost in silence is repeated soon and a slow store is given time; a store that refuses at once is pressed no more than before. The list is read before the process registers. In the first 400 ms of an entry's life requests wait for the configuration; later they are refused at once as before.

The watch loop moved from platform/ to node: when to try again is the product's.

--- a/node/agent.go
+++ b/node/agent.go
@@ -39,7 +39,7 @@
 	document   []byte            // the newest configuration that any entry sent
 	config     uint64
 	flushing   bool
-	awake      chan struct{} // a worker's life has begun
+	awake      chan struct{} // the worker has sent a heartbeat
 }
 
 // agentConn is a connection of an entry.
@@ -289,29 +289,40 @@
 		a.holdSeconds.UpdateDuration(began)
 		a.mu.Lock()
 		a.supervisor.HoldAnswered(a.clock.now(), c, reply, answer)
+		pause := a.supervisor.HoldPause() - time.Since(began)
 		a.later()
 		a.mu.Unlock()
-		if reply.Outcome != worker.Accepted && time.Since(began) < holdRetry {
-			sleep(ctx, holdRetry) // a worker that is down refuses at once
-		}
+		a.pause(ctx, pause)
 	}
 	return nil
 }
 
-// holdRetry is how long after a hold that was refused at once the next is sent.
-const holdRetry = 20 * time.Millisecond
+// pause waits, or until the worker has sent a heartbeat.
+func (a *Agent) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.awake:
+	case <-timer.C:
+	}
+}
 
-// find registers the agent and learns of the entries, and again when it has
-// been without any for a while.
+// find learns of the entries and registers the agent, and again when it has
+// been without any entry for a while. The list comes first: an agent that knows
+// the entries makes itself known to them.
 func (a *Agent) find(ctx context.Context) error {
 	own := Member{Name: a.settings.Name, Addr: a.settings.Peers}
 	for ctx.Err() == nil {
-		untilDone(ctx, a.log, "register", func() error { return a.directory.Register(ctx, peer.RoleAgent, own) })
-		untilDone(ctx, a.log, "list", func() error {
-			entries, err := a.directory.List(ctx, peer.RoleEntry)
+		untilDone(ctx, a.log, "list", func(try context.Context) error {
+			entries, err := a.directory.List(try, peer.RoleEntry)
 			a.learn(entries)
 			return err
 		})
+		untilDone(ctx, a.log, "register", func(try context.Context) error { return a.directory.Register(try, peer.RoleAgent, own) })
 		for alone := time.Duration(0); alone < loneTime && sleep(ctx, dialRetry); alone += dialRetry {
 			if a.connected() > 0 {
 				alone = 0
--- /dev/null
+++ b/node/configure.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/event"
+	"github.com/beaconpoint/beaconpoint/routing"
+)
+
+// Times of the configuration.
+const (
+	// watchWait is how long the store may wait with the answer to a watch: a
+	// cut that nobody notices hides changes no longer than that.
+	watchWait = time.Second
+	// absentRetry is how long after the store had no configuration it is
+	// asked again.
+	absentRetry = 200 * time.Millisecond
+	// firstConfigTime is for how long after its start an entry has requests
+	// wait for the first configuration, which is on its way then.
+	firstConfigTime = 400 * time.Millisecond
+)
+
+// watch takes the configuration from its source as it is and as it changes.
+func (e *Entry) watch(ctx context.Context) {
+	read := &storeCall{name: "config", log: e.log}
+	wait := &storeCall{name: "watch", log: e.log}
+	var at uint64 // the store's revision; zero: read anew
+	for ctx.Err() == nil {
+		if at == 0 {
+			at = e.readConfig(ctx, read)
+			continue
+		}
+		wait.try(ctx, watchWait, func(ctx context.Context) error {
+			next, err := e.source.Watch(ctx, at, watchWait, e.take)
+			if err == nil {
+				at = next
+			}
+			return err
+		})
+	}
+}
+
+// readConfig reads the configuration and returns the revision to watch from,
+// zero where none was read.
+func (e *Entry) readConfig(ctx context.Context, call *storeCall) uint64 {
+	var at uint64
+	done := call.try(ctx, 0, func(ctx context.Context) error {
+		var err error
+		at, err = e.source.Read(ctx, e.take)
+		return err
+	})
+	if done && at == 0 {
+		sleep(ctx, absentRetry) // the operator has written none yet
+	}
+	return at
+}
+
+// take takes a configuration document from the store or from an agent, if it
+// is newer than the one in force.
+func (e *Entry) take(document []byte) {
+	table, err := e.source.Parse(document)
+	if err != nil {
+		e.log.Error(event.ConfigRefused, "why", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.table.Load()
+	if old != nil && old.Version >= table.Version {
+		return
+	}
+	e.document = document
+	e.table.Store(table)
+	if old == nil {
+		close(e.configured)
+	}
+	e.log.Info(event.ConfigTaken, "version", table.Version, "queues", len(table.Queues))
+}
+
+// AwaitTable returns the newest configuration. Where none is known yet it waits
+// for one, but only while the entry has just started; then it returns nil at
+// once.
+func (e *Entry) AwaitTable(ctx context.Context) *routing.Table {
+	left := firstConfigTime - (e.clock.now() - e.startedAt)
+	if table := e.table.Load(); table != nil || left <= 0 {
+		return table
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-e.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.table.Load()
+}
+
+// version returns the version of the configuration in force.
+func (e *Entry) version() uint64 {
+	if t := e.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -43,6 +43,11 @@
 	// the directory forget it.
 	ForgetAfter time.Duration
 
+	// startedAt is when the process began; configured is closed when the
+	// first configuration is in force.
+	startedAt  time.Duration
+	configured chan struct{}
+
 	mu       sync.Mutex
 	owner    *owner.Owner
 	links    map[string]*link
@@ -67,9 +72,12 @@
 
 		ForgetAfter: forgetTime,
 
+		configured: make(chan struct{}),
+
 		owner: owner.NewOwner(log, rand.Float64),
 		links: make(map[string]*link),
 	}
+	e.startedAt = e.clock.now()
 	e.metrics = newEntryMetrics(e)
 	e.owner.Send = e.send
 	e.owner.Far = s.Far
@@ -140,7 +148,7 @@
 	e.add(&g, func() error { return e.Serve(soft, hard) })
 	e.add(&g, func() error { return serveMetrics(hard, e.settings.Metrics, e.metrics) })
 	e.add(&g, func() error { e.tick(hard); return nil })
-	e.add(&g, func() error { e.source.Watch(hard, e.take); return nil })
+	e.add(&g, func() error { e.watch(hard); return nil })
 	e.add(&g, func() error { e.find(hard); return nil })
 	e.add(&g, func() error { return listen(hard, e.settings.Peers, e.accept) })
 	g.Add(func() error { <-hard.Done(); return nil }, func(error) { end() })
@@ -198,66 +206,24 @@
 	}
 }
 
-// take takes a configuration document from the store or from an agent, if it
-// is newer than the one in force.
-func (e *Entry) take(document []byte) {
-	table, err := e.source.Parse(document)
-	if err != nil {
-		e.log.Error(event.ConfigRefused, "why", err.Error())
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if old := e.table.Load(); old != nil && old.Version >= table.Version {
-		return
-	}
-	e.document = document
-	e.table.Store(table)
-	e.log.Info(event.ConfigTaken, "version", table.Version, "queues", len(table.Queues))
-}
-
-// version returns the version of the configuration in force.
-func (e *Entry) version() uint64 {
-	if t := e.table.Load(); t != nil {
-		return t.Version
-	}
-	return 0
-}
-
-// find registers the entry and calls the agents that the directory names.
+// find calls the agents that the directory names, and registers the entry. The
+// list comes first: an entry that calls an agent is known to it.
 func (e *Entry) find(ctx context.Context) {
 	own := Member{Name: e.settings.Name, Addr: e.settings.Peers}
-	untilDone(ctx, e.log, "register", func() error { return e.directory.Register(ctx, peer.RoleEntry, own) })
-	for {
-		untilDone(ctx, e.log, "list", func() error {
-			agents, err := e.directory.List(ctx, peer.RoleAgent)
+	for registered := false; ; {
+		untilDone(ctx, e.log, "list", func(try context.Context) error {
+			agents, err := e.directory.List(try, peer.RoleAgent)
 			for _, m := range agents {
 				e.know(ctx, m)
 			}
 			return err
 		})
-		if !sleep(ctx, listInterval) {
-			return
+		if !registered {
+			untilDone(ctx, e.log, "register", func(try context.Context) error { return e.directory.Register(try, peer.RoleEntry, own) })
+			registered = true
 		}
-	}
-}
-
-// untilDone repeats a call to the store until it succeeds, and logs when the
-// store is lost and back.
-func untilDone(ctx context.Context, log *slog.Logger, call string, do func() error) {
-	lost := false
-	for ctx.Err() == nil {
-		err := do()
-		if err == nil {
-			if lost {
-				log.Info(event.StoreBack, "call", call)
-			}
+		if !sleep(ctx, listInterval) {
 			return
 		}
-		if !lost && ctx.Err() == nil {
-			log.Warn(event.StoreLost, "call", call, "why", err.Error())
-		}
-		lost = true
-		sleep(ctx, storeRetry)
 	}
 }
--- a/node/seams.go
+++ b/node/seams.go
@@ -32,8 +32,13 @@
 
 // ConfigSource is where the operators' configuration comes from.
 type ConfigSource struct {
-	// Watch hands every new document to take, until the context ends.
-	Watch func(ctx context.Context, take func(document []byte))
+	// Read hands the present document to take and returns the revision to
+	// watch from, zero where there is no document yet.
+	Read func(ctx context.Context, take func(document []byte)) (uint64, error)
+	// Watch waits for changes after a revision, for the given time at most,
+	// hands them to take, and returns the revision to go on from; zero means
+	// that the history is gone and Read is due.
+	Watch func(ctx context.Context, at uint64, wait time.Duration, take func(document []byte)) (uint64, error)
 	// Parse reads a document.
 	Parse func(document []byte) (*routing.Table, error)
 }
@@ -62,8 +67,6 @@
 	// called again, at first and at most.
 	dialRetry    = 40 * time.Millisecond
 	dialRetryMax = 2 * time.Second
-	// storeRetry is how long after a failed call the store is asked again.
-	storeRetry = 500 * time.Millisecond
 	// listInterval is how often the directory is read for what was missed.
 	listInterval = 10 * time.Second
 	// forgetTime is how long an agent can't be reached before it is taken to
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -17,6 +17,7 @@
 	name      string
 	connected bool
 	heardAt   time.Duration
+	profile   peer.Profile
 	state     peer.State
 	sent      []sent // orders that the state does not take account of yet
 	tasks     map[task.ID]*job
@@ -51,14 +52,15 @@
 
 // usable reports whether the agent may be given work at now.
 func (a *agent) usable(now time.Duration, service string) bool {
-	return a.connected && a.state.Taking && a.state.Cleared && a.state.Service == service && now-a.heardAt <= freshness
+	return a.connected && a.state.Taking && a.state.Cleared && a.profile.Service == service && now-a.heardAt <= freshness
 }
 
 // take replaces the state and forgets the orders that it takes account of.
 func (a *agent) take(st *peer.State) {
-	if !slices.Equal(st.Labels, a.state.Labels) || a.labels == nil {
-		a.labels = make(map[string]bool, len(st.Labels))
-		for _, l := range st.Labels {
+	if st.Profile != nil {
+		a.profile = *st.Profile
+		a.labels = make(map[string]bool, len(a.profile.Labels))
+		for _, l := range a.profile.Labels {
 			a.labels[l] = true
 		}
 	}
--- a/owner/follow.go
+++ b/owner/follow.go
@@ -48,6 +48,7 @@
 	}
 	a.connected = true
 	a.heardAt = now
+	a.profile = peer.Profile{}
 	a.state = peer.State{}
 	a.sent = nil
 	a.wanted = false
@@ -126,7 +127,7 @@
 		o.offered(now, a, f.Room)
 	}
 	if f.State != nil || len(f.Ended) > 0 {
-		o.schedule(now, o.queue(a.state.Service))
+		o.schedule(now, o.queue(a.profile.Service))
 	}
 }
 
@@ -138,7 +139,7 @@
 		o.clear(now, a)
 	}
 	if turned {
-		o.Log.Info(event.WorkerSick, "agent", a.name, "worker", st.Worker, "runs", len(a.tasks))
+		o.Log.Info(event.WorkerSick, "agent", a.name, "worker", a.profile.Worker, "runs", len(a.tasks))
 		o.move(now, a)
 	}
 }
@@ -253,9 +254,12 @@
 	case j.dieBy > 0 && now >= j.dieBy-dieMargin:
 		o.giveUp(now, j, code.JobCallerLeaves)
 		return
-	case !j.begun && now+time.Duration(hopeful*float64(j.left())) > j.lateBy:
+	case !j.begun && now+j.least() > j.lateBy:
 		o.giveUp(now, j, code.JobHopeless)
 		return
+	case !j.begun && j.dieBy > 0 && now+j.least() > j.dieBy:
+		o.giveUp(now, j, code.JobCallerLeaves)
+		return
 	case j.begun && now > j.arrived+time.Duration(j.sure()*float64(j.lateBy-j.arrived)):
 		o.giveUp(now, j, code.JobTooLate)
 		return
@@ -267,6 +271,11 @@
 	}
 }
 
+// least returns how long the rest of j takes at the least.
+func (j *job) least() time.Duration {
+	return time.Duration(hopeful * float64(j.left()))
+}
+
 // sure returns how many times its late objective j may take.
 func (j *job) sure() float64 {
 	if j.startable() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -111,6 +111,7 @@
 		}
 	}
 	j.waiters[o.waiters] = answer
+	o.judge(now, j)
 	o.schedule(now, o.queue(spec.Service))
 	return o.waiters
 }
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -45,8 +45,9 @@
 
 // state has an agent tell its worker's state, with all orders so far in it.
 func (b *bench) state(agent string, cpu int, speed float64, health peer.Health) {
-	b.Heard(b.now, agent, &peer.Frame{State: &peer.State{Worker: "i", Service: "trackd", Capacity: task.Needs{CPU: 4000, MemoryMB: 100},
-		Free: task.Needs{CPU: cpu, MemoryMB: 100}, Speed: speed, Health: health, Taking: true, Cleared: true, Seen: b.seq}})
+	b.Heard(b.now, agent, &peer.Frame{State: &peer.State{
+		Profile: &peer.Profile{Worker: "i", Service: "trackd", Capacity: task.Needs{CPU: 4000, MemoryMB: 100}},
+		Free:    task.Needs{CPU: cpu, MemoryMB: 100}, Speed: speed, Health: health, Taking: true, Cleared: true, Seen: b.seq}})
 }
 
 func jobOf(id string, tasks int) task.Job {
@@ -305,3 +306,19 @@
 	assert.Equal(t, len(last.Stops), 2)
 	assert.Assert(t, !b.CancelAll(b.now, "1"))
 }
+
+// TestAJobWhoseCallerLeavesTooSoonIsNotBegun: nobody would take its answer, and a
+// resend often comes with little time left.
+func TestAJobWhoseCallerLeavesTooSoonIsNotBegun(t *testing.T) {
+	b := newBench(t, "a")
+	j := jobOf("1", 2)
+	j.Patience = 50 * ms // its tasks take 100
+	b.submit(j)
+	assert.Equal(t, b.answers["1"].Kind, Refused)
+	assert.Equal(t, b.answers["1"].Why, code.JobCallerLeaves)
+	assert.Equal(t, len(b.starts("a")), 0)
+	j = jobOf("2", 2)
+	j.Patience = 150 * ms
+	b.submit(j)
+	assert.Equal(t, len(b.starts("a")), 2)
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -102,8 +102,8 @@
 		likely *= o.Far
 	}
 	load := 0.0
-	if a.state.Capacity.CPU > 0 {
-		load = 1 - float64(a.free().CPU)/float64(a.state.Capacity.CPU)
+	if a.profile.Capacity.CPU > 0 {
+		load = 1 - float64(a.free().CPU)/float64(a.profile.Capacity.CPU)
 	}
 	cost := likely * (1 + loadWeight*load + luckWeight*o.Random())
 	if a.state.Health == peer.Sick {
@@ -138,7 +138,7 @@
 	o.stats.Starts++
 	o.queue(j.spec.Service).pace.add(now, work(s, 1))
 	a.sent = append(a.sent, sent{needs: s.Needs}) // flush adds the frame's number
-	o.Log.Info(event.TaskPlaced, "task", id.String(), "run", t.run, "agent", a.name, "worker", a.state.Worker,
+	o.Log.Info(event.TaskPlaced, "task", id.String(), "run", t.run, "agent", a.name, "worker", a.profile.Worker,
 		"state_age_ms", (now - a.heardAt).Milliseconds(), "free_cpu", a.free().CPU, "waited_ms", (now - j.arrived).Milliseconds())
 }
 
@@ -168,7 +168,7 @@
 func (o *Owner) want(now time.Duration, q *queue, j *job, step int, a *agent) *peer.Want {
 	a.wanted = true
 	a.wantBy = j.rank
-	return &peer.Want{Slack: j.rank - now, Needs: j.spec.Steps[step].Needs, Total: q.total(a.state.Capacity)}
+	return &peer.Want{Slack: j.rank - now, Needs: j.spec.Steps[step].Needs, Total: q.total(a.profile.Capacity)}
 }
 
 // offered fills room that a holds for this entry.
@@ -176,7 +176,7 @@
 	a.wanted = false
 	a.out.Offer = offer.ID
 	a.dirty = true
-	q := o.queue(a.state.Service)
+	q := o.queue(a.profile.Service)
 	room := offer.Room
 	if !a.usable(now, q.service) {
 		return
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -94,16 +95,29 @@
 	Room task.Needs
 }
 
-// State is what an agent tells of its worker.
-type State struct {
+// Profile is what seldom changes about a worker.
+type Profile struct {
 	// Worker is the id of the worker's life, empty where none is known.
 	Worker  string
 	Service string
 	Zone    string
 	Labels  []string
-	// Capacity is the worker's room; Free what is not in use.
+	// Capacity is the worker's whole room.
 	Capacity task.Needs
-	Free     task.Needs
+}
+
+// Equal reports whether p and o say the same.
+func (p Profile) Equal(o Profile) bool {
+	return p.Worker == o.Worker && p.Service == o.Service && p.Zone == o.Zone &&
+		p.Capacity == o.Capacity && slices.Equal(p.Labels, o.Labels)
+}
+
+// State is what an agent tells of its worker.
+type State struct {
+	// Profile is nil where it is as in the state before on the connection.
+	Profile *Profile
+	// Free is the room that is not in use.
+	Free task.Needs
 	// Speed is the worker's learned speed, 1 being usual.
 	Speed float64
 	// Health is how far the worker is trusted.
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -20,7 +20,7 @@
 		Hello: &Hello{Role: RoleEntry, Name: "edge-1", Addr: "127.0.0.1:1"}, Document: []byte("{}"),
 		Starts: []task.Order{{Task: id, Run: 2, Spec: "text", Needs: task.Needs{CPU: 1, MemoryMB: 2, GPU: 3}, Estimate: 4, Guess: 5}},
 		Stops:  []task.Ref{{Task: id, Run: 1}}, Offer: 9, Want: &Want{Slack: -time.Second},
-		State: &State{Worker: "i-1", Labels: []string{"a"}, Speed: 1.25, Health: Sick, Taking: true, Seen: 8},
+		State: &State{Profile: &Profile{Worker: "i-1", Labels: []string{"a"}}, Speed: 1.25, Health: Sick, Taking: true, Seen: 8},
 		Ended: []Ended{{Ref: task.Ref{Task: id, Run: 2}, End: task.EndDone, Reason: code.RunListed, Took: time.Second}},
 		Room:  &Offer{ID: 1},
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -30,6 +30,9 @@
 	Down, Silent bool
 	// LoseAnswers is how many writes take effect without an answer.
 	LoseAnswers int
+	// BeforeWrite is called before a transaction is looked at, as if that had
+	// been under way for long.
+	BeforeWrite func()
 }
 
 // Store holds the keys. It implements http.Handler.
@@ -128,6 +131,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if faults.BeforeWrite != nil && r.URL.Path == "/beaconpoint/kv-txn" {
+		faults.BeforeWrite()
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -111,7 +111,7 @@
 	n.Worker = strings.TrimPrefix(server.URL, "http://")
 	p := &Process{settings: n, run: func(ctx context.Context) error {
 		log := slog.New(slog.NewTextHandler(io.Discard, nil))
-		a := node.NewAgent(n, platform.NewStore(n.Store, log).Directory(), platform.NewWorker(n.Worker).Calls(), log)
+		a := node.NewAgent(n, platform.NewStore(n.Store).Directory(), platform.NewWorker(n.Worker).Calls(), log)
 		a.Serve = platform.NewReports(a, n.Reports).Serve
 		return a.Run(ctx)
 	}}
@@ -136,7 +136,7 @@
 	n.Callers, n.Readiness = ownAddr(s.tb), ownAddr(s.tb)
 	p := &Process{settings: n, run: func(ctx context.Context) error {
 		log := slog.New(slog.NewTextHandler(io.Discard, nil))
-		store := platform.NewStore(n.Store, log)
+		store := platform.NewStore(n.Store)
 		e := node.NewEntry(n, store.Directory(), store.Source(), log)
 		e.ForgetAfter = forgetAfter
 		e.Serve = platform.NewFront(e, n.Callers, n.Readiness, log).Serve
--- a/worker/call.go
+++ b/worker/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
@@ -109,3 +110,8 @@
 	HasClock bool
 	Seq      uint64
 }
+
+// profile returns what entries are told of the worker.
+func (r Report) profile() peer.Profile {
+	return peer.Profile{Worker: r.ID, Service: r.Service, Zone: r.Zone, Labels: r.Labels, Capacity: r.Capacity}
+}
--- a/worker/hold.go
+++ b/worker/hold.go
@@ -16,6 +16,14 @@
 // earlier agent.
 const emptyingWait = 20 * time.Millisecond
 
+// After a hold that the worker did not answer well, the next is sent holdRetry
+// later, and each further one after twice the time, up to holdRetryMax: every try
+// may cost a new connection.
+const (
+	holdRetry    = 20 * time.Millisecond
+	holdRetryMax = 160 * time.Millisecond
+)
+
 // silence is how long a worker may leave calls unanswered before it gets no
 // more work and its lease is left to run out.
 const silence = holdWait + 120*time.Millisecond
@@ -53,8 +61,10 @@
 		return
 	}
 	s.takeClock(now, c.Life, reply)
+	s.holdFaults++
 	switch reply.Outcome {
 	case Accepted:
+		s.holdFaults = 0
 		s.listed(now, c, a)
 	case RefusedFence:
 		s.renewToken(now)
@@ -65,6 +75,18 @@
 	s.deal(now)
 }
 
+// HoldPause returns how long after the last hold was sent the next is due at the
+// earliest, zero where that one was answered well.
+func (s *Supervisor) HoldPause() time.Duration {
+	if s.holdFaults == 0 {
+		return 0
+	}
+	return min(holdRetry<<min(s.holdFaults-1, maxDoublings), holdRetryMax)
+}
+
+// maxDoublings bounds how often holdRetry is doubled.
+const maxDoublings = 8
+
 // silent reports whether the worker has not answered for too long.
 func (s *Supervisor) silent(now time.Duration) bool {
 	return now-s.answeredAt > silence
--- a/worker/supervisor.go
+++ b/worker/supervisor.go
@@ -33,8 +33,12 @@
 	callRetry  = 100 * time.Millisecond
 	// offerTime is how long room is held for an entry that wants it.
 	offerTime = 40 * time.Millisecond
-	// stateInterval is the shortest time between two states for one entry.
+	// stateInterval is the shortest time between two states for one entry, and
+	// stateShare how much of it each connected entry adds beyond that: with many
+	// entries each state costs that many frames, and an entry that needs to know
+	// at once has a want here.
 	stateInterval = 8 * time.Millisecond
+	stateShare    = 2500 * time.Microsecond
 	// staleReport is how long after its last heartbeat a worker counts as
 	// gone, in which case it gets no more work.
 	staleReport = 6 * time.Second
@@ -72,9 +76,10 @@
 	echoed  time.Duration // the latest own stamp that it sent back
 	seen    uint64        // its last frame
 	want    *want
-	out     peer.Frame // what is to be sent
-	dirty   bool       // out has something
-	changed bool       // the state has changed since it was told
+	out     peer.Frame    // what is to be sent
+	profile *peer.Profile // the one that it was told last
+	dirty   bool          // out has something
+	changed bool          // the state has changed since it was told
 	toldAt  time.Duration
 }
 
@@ -93,12 +98,15 @@
 
 	report   *Report
 	reportAt time.Duration
-	empty    bool // the worker is known to run nothing of an earlier agent
-	leaving  bool // the agent itself stops
+	profile  *peer.Profile // of the report; another one each time it changes
+	empty    bool          // the worker is known to run nothing of an earlier agent
+	leaving  bool          // the agent itself stops
 	token    uint64
 	lastSeen uint64
 	clock    clock
 	health   health
+	// holdFaults is how many holds in a row were not answered well.
+	holdFaults int
 	// answeredAt is when the worker last answered a call.
 	answeredAt time.Duration
 	// listedAt is when it was asked for the lists that were last taken: what
@@ -149,6 +157,9 @@
 	r.Draining = r.Draining || s.report.Draining
 	s.report = &r
 	s.reportAt = now
+	if p := r.profile(); s.profile == nil || !s.profile.Equal(p) {
+		s.profile = &p
+	}
 	s.changed()
 }
 
@@ -158,6 +169,7 @@
 	s.endLife(now)
 	s.report = &r
 	s.answeredAt = now
+	s.holdFaults = 0
 }
 
 // endLife ends all that the worker's present life ran.
@@ -335,7 +347,7 @@
 // flush sends what is due to the entries.
 func (s *Supervisor) flush(now time.Duration) {
 	for _, o := range s.sortedOwners() {
-		if o.changed && (o.dirty || now-o.toldAt >= stateInterval) {
+		if o.changed && (o.dirty || now-o.toldAt >= s.stateInterval()) {
 			o.out.State = s.state(now, o)
 			o.toldAt = now
 			o.changed = false
@@ -357,12 +369,17 @@
 func (s *Supervisor) Pending(now time.Duration) (time.Duration, bool) {
 	for _, o := range s.owners {
 		if o.changed {
-			return max(0, o.toldAt+stateInterval-now), true
+			return max(0, o.toldAt+s.stateInterval()-now), true
 		}
 	}
 	return 0, false
 }
 
+// stateInterval returns the shortest time between two states for one entry.
+func (s *Supervisor) stateInterval() time.Duration {
+	return max(stateInterval, time.Duration(len(s.owners))*stateShare)
+}
+
 // Heartbeats sends each entry a frame, so that it has a fresh stamp to echo.
 func (s *Supervisor) Heartbeats(now time.Duration) {
 	for _, o := range s.owners {
@@ -377,11 +394,10 @@
 	if s.report == nil {
 		return st
 	}
-	st.Worker = s.report.ID
-	st.Service = s.report.Service
-	st.Zone = s.report.Zone
-	st.Labels = s.report.Labels
-	st.Capacity = s.report.Capacity
+	if o.profile != s.profile {
+		o.profile = s.profile
+		st.Profile = s.profile
+	}
 	st.Free = s.free(now, o)
 	st.Speed = s.health.speed()
 	if s.health.sick {
--- a/worker/supervisor_test.go
+++ b/worker/supervisor_test.go
@@ -222,3 +222,60 @@
 	b.Heard(b.now, 1, &peer.Frame{Echo: b.now, Starts: []task.Order{order(1, 2000)}})
 	assert.Equal(t, len(b.starts), 1) // three cores are held for the other
 }
+
+// profiles returns how many frames since the given one told the profile.
+func (b *bench) profiles(since int) int {
+	count := 0
+	for _, f := range b.frames[since:] {
+		if f.State != nil && f.State.Profile != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// TestAProfileIsToldWhenItChanges and not with each state: most of a state's
+// bytes would be the same again.
+func TestAProfileIsToldWhenItChanges(t *testing.T) {
+	b := newBench(t)
+	assert.Equal(t, b.profiles(0), 1)
+	told := len(b.frames)
+	b.orders(order(1, 1000))
+	b.beat(300 * ms)
+	assert.Assert(t, len(b.frames) > told)
+	assert.Equal(t, b.profiles(told), 0)
+	larger := b.report("i-1", 2)
+	larger.Capacity.CPU = 6000
+	b.Heartbeat(b.now, larger)
+	b.beat(100 * ms)
+	assert.Equal(t, b.profiles(told), 1)
+	told = len(b.frames)
+	b.Connected(b.now, 2, "edge-2")
+	b.beat(100 * ms)
+	assert.Equal(t, b.profiles(told), 1) // the new connection knows nothing
+}
+
+// TestStatesAreFewerWithManyEntries: each costs a frame for each of them.
+func TestStatesAreFewerWithManyEntries(t *testing.T) {
+	b := newBench(t)
+	assert.Equal(t, b.stateInterval(), 8*ms)
+	for k := range 11 {
+		b.Connected(b.now, ConnID(k+2), "edge-"+string(rune('a'+k)))
+	}
+	assert.Equal(t, b.stateInterval(), 30*ms)
+}
+
+// TestACallThatFailsIsTriedLessOften: a worker that turns every connection away
+// must not be called fifty times a second.
+func TestACallThatFailsIsTriedLessOften(t *testing.T) {
+	b := newBench(t)
+	var waits []time.Duration
+	for range 6 {
+		c, _ := b.NextHold(b.now)
+		waits = append(waits, b.HoldPause())
+		b.HoldAnswered(b.now, c, Reply{Outcome: NoAnswer}, nil)
+	}
+	assert.DeepEqual(t, waits, []time.Duration{0, 20 * ms, 40 * ms, 80 * ms, 160 * ms, 160 * ms})
+	b.list(nil, nil)
+	assert.Equal(t, b.HoldPause(), time.Duration(0))
+}
