A second hold while answers get lost; unanswered starts are sent again after 20 ms

Ruled out: the room held for unanswered starts (their second try is answered).

Change: a worker that leaves a call unanswered while it answers others is shaky for 3 s: a second hold is kept under way beside the first. A silent worker gets none. A start without an answer is sent again after 20 ms, by a timer of its own, in place of the next tick after 40 ms.

TestWhatJobsEarn plays eleven scenes with bounds a little below what was measured.

--- a/node/agent.go
+++ b/node/agent.go
@@ -40,6 +40,7 @@
 	config     uint64
 	flushing   bool
 	awake      chan struct{} // the worker has sent a heartbeat
+	shaken     chan struct{} // answers of the worker get lost
 }
 
 // agentConn is a connection of an entry.
@@ -62,6 +63,7 @@
 		conns:      make(map[worker.ConnID]*agentConn),
 		entries:    make(map[string]string),
 		awake:      make(chan struct{}, 1),
+		shaken:     make(chan struct{}, 1),
 	}
 	a.metrics = newAgentMetrics(a)
 	a.supervisor.Start = func(c worker.StartCall) { go a.start(c) }
@@ -98,7 +100,7 @@
 	defer end()
 	var g run.Group
 	g.Add(func() error { return a.stop(ctx, hard) }, func(error) { end() })
-	for _, do := range []func(context.Context) error{a.Serve, a.serveMetrics, a.listen, a.tick, a.hold, a.find, a.introduce} {
+	for _, do := range []func(context.Context) error{a.Serve, a.serveMetrics, a.listen, a.tick, a.hold, a.holdBeside, a.find, a.introduce} {
 		g.Add(func() error { return do(hard) }, func(error) { end() })
 	}
 	err := g.Run()
@@ -222,6 +224,12 @@
 // later has a state that waits to be told sent in time. It is called with the
 // lock held.
 func (a *Agent) later() {
+	if a.supervisor.Shaky(a.clock.now()) {
+		select {
+		case a.shaken <- struct{}{}:
+		default:
+		}
+	}
 	wait, ok := a.supervisor.Pending(a.clock.now())
 	if !ok || a.flushing {
 		return
@@ -251,7 +259,9 @@
 
 func (a *Agent) start(c worker.StartCall) {
 	began := time.Now()
+	retry := time.AfterFunc(worker.StartRetry+time.Millisecond, a.look)
 	reply := a.calls.Start(c)
+	retry.Stop()
 	a.startSeconds.UpdateDuration(began)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -259,6 +269,14 @@
 	a.later()
 }
 
+// look has the state machine look at what has run out of time.
+func (a *Agent) look() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.supervisor.Tick(a.clock.now())
+	a.later()
+}
+
 func (a *Agent) stopRun(c worker.StopCall) {
 	reply := a.calls.Stop(c)
 	a.mu.Lock()
@@ -270,29 +288,57 @@
 // hold keeps the worker's lease and reads its lists.
 func (a *Agent) hold(ctx context.Context) error {
 	for ctx.Err() == nil {
-		a.mu.Lock()
-		c, ok := a.supervisor.NextHold(a.clock.now())
-		a.mu.Unlock()
-		if !ok {
+		if !a.holdOnce(ctx) {
 			select {
 			case <-ctx.Done():
 			case <-a.awake:
 			}
-			continue
 		}
-		began := time.Now()
-		reply, answer := a.calls.Hold(c)
-		a.holdSeconds.UpdateDuration(began)
-		a.mu.Lock()
-		a.supervisor.HoldAnswered(a.clock.now(), c, reply, answer)
-		pause := a.supervisor.HoldPause() - time.Since(began)
-		a.later()
-		a.mu.Unlock()
-		a.pause(ctx, pause)
 	}
 	return nil
 }
 
+// holdBeside keeps a second hold under way while answers get lost.
+func (a *Agent) holdBeside(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.shaken:
+		}
+		for a.shaky() && a.holdOnce(ctx) {
+		}
+	}
+}
+
+// shaky reports whether answers of the worker get lost.
+func (a *Agent) shaky() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.supervisor.Shaky(a.clock.now())
+}
+
+// holdOnce makes one hold, and the pause after one that failed. It reports
+// whether there is a worker.
+func (a *Agent) holdOnce(ctx context.Context) bool {
+	a.mu.Lock()
+	c, ok := a.supervisor.NextHold(a.clock.now())
+	a.mu.Unlock()
+	if !ok || ctx.Err() != nil {
+		return false
+	}
+	began := time.Now()
+	reply, answer := a.calls.Hold(c)
+	a.holdSeconds.UpdateDuration(began)
+	a.mu.Lock()
+	a.supervisor.HoldAnswered(a.clock.now(), c, reply, answer)
+	pause := a.supervisor.HoldPause() - time.Since(began)
+	a.later()
+	a.mu.Unlock()
+	a.pause(ctx, pause)
+	return true
+}
+
 // pause waits, or until the worker has sent a heartbeat.
 func (a *Agent) pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/testutil/fleet/policy_test.go
+++ b/testutil/fleet/policy_test.go
@@ -5,69 +5,109 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/beaconpoint/beaconpoint/owner"
 )
 
-func TestPolicyTable(t *testing.T) {
-	for _, c := range []struct {
-		name            string
-		load            float64
-		entries, agents int
-		setup           func(*World)
-	}{
-		{"65%", 0.65, 3, 11, nil},
-		{"85%", 0.85, 3, 11, nil},
-		{"85% big", 0.85, 12, 40, nil},
-		{"65% big", 0.65, 12, 40, nil},
-		{"burst big", 0.75, 12, 40, func(w *World) {
-			w.At(4*time.Second, func() { w.Surge = 1.8 })
-			w.At(7*time.Second, func() { w.Surge = 0 })
-		}},
-		{"burst", 0.75, 3, 11, func(w *World) {
-			w.At(4*time.Second, func() { w.Surge = 1.8 })
-			w.At(7*time.Second, func() { w.Surge = 0 })
-		}},
-		{"kill all", 0.75, 3, 11, func(w *World) { w.At(5*time.Second, w.KillAll) }},
-		{"hang", 0.75, 3, 11, func(w *World) {
-			w.At(4*time.Second, func() { w.mood(w.agents[0], Mood{Hanging: true}, 4*time.Second) })
-		}},
-		{"slow", 0.75, 3, 11, func(w *World) { w.At(4*time.Second, func() { w.mood(w.agents[0], Mood{Slow: 6}, 4*time.Second) }) }},
-		{"fail", 0.75, 3, 11, func(w *World) { w.At(4*time.Second, func() { w.mood(w.agents[0], Mood{Failing: 1}, 4*time.Second) }) }},
-	} {
-		var wg sync.WaitGroup
-		var mu sync.Mutex
-		var st owner.Stats
-		var frames int
-		var total Credit
-		var by [3]Credit
-		seeds := 8
-		if c.agents > 20 {
-			seeds = 3
-		}
-		for seed := range uint64(seeds) {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				w := New(PolicyConfig(seed+1, c.entries, c.agents, Tracking(c.agents, c.load)))
-				if c.setup != nil {
-					c.setup(w)
-				}
-				w.Run()
-				mu.Lock()
-				defer mu.Unlock()
-				frames += w.Frames
-				st = addStats(st, w.Stats())
-				total = total.Plus(w.Total())
-				for k := range by {
-					by[k] = by[k].Plus(w.Credits[k])
-				}
-				if w.Broken != "" {
-					t.Log(w.Broken)
-				}
-			}()
+// scene is a workload under one trouble, with what its jobs earn at the least.
+type scene struct {
+	name            string
+	load            float64
+	entries, agents int
+	seeds           int
+	trouble         func(*World)
+	// least is the least share of what is owed that must be earned, in all and
+	// by the worst class; bounced the largest share of orders turned down.
+	least, worst, bounced float64
+}
+
+// from begins a trouble after four seconds of the workload.
+func from(do func(w *World)) func(*World) {
+	return func(w *World) { w.At(4*time.Second, func() { do(w) }) }
+}
+
+// inMood has the first so many workers be in a mood for a while.
+func inMood(workers int, m Mood, lasts time.Duration) func(*World) {
+	return from(func(w *World) {
+		for _, a := range w.agents[:workers] {
+			w.mood(a, m, lasts)
 		}
-		wg.Wait()
-		t.Logf("%-9s share %.3f (%.3f %.3f %.3f) in aim %d late %d of %d refused %d given up %d bounced %.3f moved %d frames/start %.1f", c.name, total.Share(), by[0].Share(), by[1].Share(),
-			by[2].Share(), total.InAim, total.Late, total.Jobs, st.Refused, st.GivenUp, float64(st.Bounced)/float64(st.Starts), st.Moved, float64(frames)/float64(st.Starts-st.Bounced))
+	})
+}
+
+// surge has jobs come at so many times the rate for three seconds.
+func surge(times float64) func(*World) {
+	return from(func(w *World) {
+		w.Surge = times
+		w.At(3*time.Second, func() { w.Surge = 0 })
+	})
+}
+
+// TestWhatJobsEarn plays a workload under load and troubles. The bounds lie a
+// little below what was measured; without a mechanism that the decisions rest on,
+// one of them is missed (docs/design/decisions.md).
+func TestWhatJobsEarn(t *testing.T) {
+	const small, large = 11, 40
+	for _, s := range []scene{
+		{"half load", 0.65, 3, small, 8, nil, 0.985, 0.97, 0.10},
+		{"high load", 0.85, 3, small, 8, nil, 0.96, 0.94, 0.18},
+		{"high load, large", 0.85, 12, large, 3, nil, 0.98, 0.96, 0.45},
+		{"burst", 0.75, 3, small, 8, surge(1.8), 0.86, 0.845, 0.12},
+		{"burst, large", 0.75, 12, large, 3, surge(1.8), 0.86, 0.82, 0.30},
+		{"late orders", 0.75, 3, small, 8, inMood(small, Mood{Late: 0.06}, 8*time.Second), 0.965, 0.945, 0.16},
+		{"lost answers", 0.75, 3, small, 8, inMood(small, Mood{Lost: 0.06}, 8*time.Second), 0.965, 0.945, 0.16},
+		{"all killed", 0.75, 3, small, 8, from((*World).KillAll), 0.80, 0.75, 0.18},
+		{"a worker hangs", 0.75, 3, small, 8, inMood(1, Mood{Hanging: true}, 4*time.Second), 0.96, 0.94, 0.18},
+		{"a worker is slow", 0.75, 3, small, 8, inMood(1, Mood{Slow: 6}, 4*time.Second), 0.96, 0.945, 0.18},
+		{"a worker fails all", 0.75, 3, small, 8, inMood(1, Mood{Failing: 1}, 4*time.Second), 0.96, 0.935, 0.18},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			s.play(t)
+		})
+	}
+}
+
+// play plays the scene with each seed and looks at the sums.
+func (s scene) play(t *testing.T) {
+	var (
+		wait   sync.WaitGroup
+		lock   sync.Mutex
+		stats  owner.Stats
+		total  Credit
+		frames int
+	)
+	classes := Tracking(s.agents, s.load)
+	by := make([]Credit, len(classes))
+	for seed := range uint64(s.seeds) {
+		wait.Go(func() {
+			w := New(PolicyConfig(seed+1, s.entries, s.agents, classes))
+			if s.trouble != nil {
+				s.trouble(w)
+			}
+			w.Run()
+			lock.Lock()
+			defer lock.Unlock()
+			assert.Check(t, w.Broken == "", "seed %d: %s", seed+1, w.Broken)
+			stats = addStats(stats, w.Stats())
+			frames += w.Frames
+			for k, c := range w.Credits {
+				by[k] = by[k].Plus(c)
+				total = total.Plus(c)
+			}
+		})
+	}
+	wait.Wait()
+	worst := total.Share()
+	for _, c := range by {
+		worst = min(worst, c.Share())
 	}
+	bounced := float64(stats.Bounced) / float64(stats.Starts)
+	t.Logf("earned %.3f, worst class %.3f; of %d jobs %d in aim, %d late, %d refused, %d given up; %.3f of orders turned down, %.1f frames a run",
+		total.Share(), worst, total.Jobs, total.InAim, total.Late, stats.Refused, stats.GivenUp, bounced,
+		float64(frames)/float64(stats.Starts-stats.Bounced))
+	assert.Check(t, total.Share() >= s.least)
+	assert.Check(t, worst >= s.worst)
+	assert.Check(t, bounced <= s.bounced)
 }
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -93,6 +93,7 @@
 	process
 	supervisor *worker.Supervisor
 	flushing   bool
+	beside     bool // a second hold is kept under way
 	worker     *emulated
 	seq        uint64
 }
@@ -121,6 +122,7 @@
 func (a *agentProcess) begin() {
 	a.life++
 	a.dead = false
+	a.beside = false
 	life := a.life
 	s := worker.NewSupervisor(a.w.cfg.Log.With("node", a.name))
 	s.Rules = a.w.cfg.Rules
@@ -133,12 +135,13 @@
 		}
 	}
 	s.Start = func(c worker.StartCall) {
-		a.worker.call(c.Life, func() worker.Reply { return a.worker.start(c) }, func(r worker.Reply) {
+		a.w.after(worker.StartRetry+time.Millisecond, func() { a.do(life, func() { s.Tick(a.w.now()) }) })
+		a.worker.call(c.Life, orderTimeout, func() worker.Reply { return a.worker.start(c) }, func(r worker.Reply) {
 			a.do(life, func() { s.StartAnswered(a.w.now(), c, r); a.later() })
 		})
 	}
 	s.Stop = func(c worker.StopCall) {
-		a.worker.call(c.Life, func() worker.Reply { return a.worker.stop(c) }, func(r worker.Reply) {
+		a.worker.call(c.Life, orderTimeout, func() worker.Reply { return a.worker.stop(c) }, func(r worker.Reply) {
 			a.do(life, func() { s.StopAnswered(a.w.now(), c, r) })
 		})
 	}
@@ -158,6 +161,10 @@
 
 // later has a state that waits to be told sent in time.
 func (a *agentProcess) later() {
+	if !a.beside && a.supervisor.Shaky(a.w.now()) {
+		a.beside = true
+		a.holdBeside(a.life)
+	}
 	wait, ok := a.supervisor.Pending(a.w.now())
 	if !ok || a.flushing {
 		return
@@ -173,18 +180,34 @@
 	})
 }
 
+// hold keeps the worker's lease.
 func (a *agentProcess) hold(life int) {
+	a.holdOnce(life, func(wait time.Duration) { a.w.after(wait, func() { a.hold(life) }) })
+}
+
+// holdBeside keeps a second hold under way while answers get lost.
+func (a *agentProcess) holdBeside(life int) {
+	a.holdOnce(life, func(wait time.Duration) {
+		if !a.supervisor.Shaky(a.w.now()) {
+			a.beside = false
+			return
+		}
+		a.w.after(wait, func() { a.holdBeside(life) })
+	})
+}
+
+func (a *agentProcess) holdOnce(life int, next func(wait time.Duration)) {
 	a.do(life, func() {
 		c, ok := a.supervisor.NextHold(a.w.now())
 		if !ok {
-			a.w.after(agentTick, func() { a.hold(life) })
+			next(agentTick)
 			return
 		}
 		a.worker.hold(c, func(r worker.Reply, lists *worker.HoldAnswer) {
 			a.do(life, func() {
 				a.supervisor.HoldAnswered(a.w.now(), c, r, lists)
 				a.later()
-				a.w.after(max(time.Millisecond, a.supervisor.HoldPause()), func() { a.hold(life) })
+				next(max(time.Millisecond, a.supervisor.HoldPause()))
 			})
 		})
 	})
--- a/testutil/fleet/worker.go
+++ b/testutil/fleet/worker.go
@@ -17,6 +17,13 @@
 // work.
 const drainTime = 2 * time.Second
 
+// How long an agent waits for the answer to an order, and to a hold beyond the
+// time that it may take.
+const (
+	orderTimeout = 300 * time.Millisecond
+	holdTimeout  = 40 * time.Millisecond
+)
+
 // Mood is how a worker behaves.
 type Mood struct {
 	// Lost is the share of calls that are done and not answered; Late the
@@ -101,10 +108,9 @@
 
 // call runs do as a call with the worker's mood: the answer may be lost, and
 // what is asked may be done later.
-func (e *emulated) call(life string, do func() worker.Reply, answer func(worker.Reply)) {
+func (e *emulated) call(life string, timeout time.Duration, do func() worker.Reply, answer func(worker.Reply)) {
 	luck := e.w.rng.Float64()
 	none := worker.Reply{Outcome: worker.NoAnswer}
-	timeout := 300 * time.Millisecond
 	run := func() worker.Reply {
 		if e.id != life {
 			return worker.Reply{Outcome: worker.OtherLife}
@@ -259,7 +265,7 @@
 // hold renews the lease and lists.
 func (e *emulated) hold(c worker.HoldCall, answer func(worker.Reply, *worker.HoldAnswer)) {
 	var lists *worker.HoldAnswer
-	e.call(c.Life, func() worker.Reply {
+	e.call(c.Life, c.Wait+holdTimeout, func() worker.Reply {
 		if c.Token < e.token {
 			return worker.Reply{Outcome: worker.RefusedFence}
 		}
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -57,6 +57,12 @@
 	first.Run()
 	second.Run()
 	assert.Equal(t, first.Counts, second.Counts)
+	cfg := PolicyConfig(5, 3, 11, Tracking(11, 0.85))
+	first, second = New(cfg), New(cfg)
+	first.Run()
+	second.Run()
+	assert.DeepEqual(t, first.Credits, second.Credits)
+	assert.Equal(t, first.Frames, second.Frames)
 }
 
 // TestEveryMechanismIsNeeded takes one mechanism out at a time: some history
--- a/worker/hold.go
+++ b/worker/hold.go
@@ -24,6 +24,10 @@
 	holdRetryMax = 160 * time.Millisecond
 )
 
+// shakyTime is how long after a call was left unanswered, while others were not,
+// a worker's answers are taken to get lost.
+const shakyTime = 3 * time.Second
+
 // silence is how long a worker may leave calls unanswered before it gets no
 // more work and its lease is left to run out.
 const silence = holdWait + 120*time.Millisecond
@@ -63,6 +67,8 @@
 	s.takeClock(now, c.Life, reply)
 	s.holdFaults++
 	switch reply.Outcome {
+	case NoAnswer:
+		s.unanswered(now)
 	case Accepted:
 		s.holdFaults = 0
 		s.listed(now, c, a)
@@ -75,6 +81,22 @@
 	s.deal(now)
 }
 
+// unanswered takes note of a call that the worker left without an answer. One
+// that answers none at all is silent; of one that answers others, the answer of
+// the next hold may get lost as well, and with it for a while the word of what
+// has ended.
+func (s *Supervisor) unanswered(now time.Duration) {
+	if !s.silent(now) {
+		s.shakyUntil = now + shakyTime
+	}
+}
+
+// Shaky reports whether a second hold should be kept under way beside the first,
+// so that a lost answer hides no ends.
+func (s *Supervisor) Shaky(now time.Duration) bool {
+	return now < s.shakyUntil && len(s.runs) > 0
+}
+
 // HoldPause returns how long after the last hold was sent the next is due at the
 // earliest, zero where that one was answered well.
 func (s *Supervisor) HoldPause() time.Duration {
--- a/worker/run.go
+++ b/worker/run.go
@@ -102,6 +102,7 @@
 			return
 		}
 	case NoAnswer:
+		s.unanswered(now)
 		s.Log.Info(event.StartUnanswered, "task", r.name, "run", r.order.Run, "tries", r.tries)
 		if !s.Rules.Settling {
 			s.finish(now, r, task.EndRejected, code.RunAbsent)
@@ -207,7 +208,7 @@
 		r.settle(now) // no copy of the start can be taken any more
 		return
 	}
-	if !r.answered && now-r.sentAt >= startRetry && r.tries < maxStartTries {
+	if !r.answered && now-r.sentAt >= StartRetry && r.tries < maxStartTries {
 		s.send(now, r)
 	}
 }
--- a/worker/supervisor.go
+++ b/worker/supervisor.go
@@ -27,9 +27,9 @@
 	// lost hides all ends until the next.
 	holdWait = 250 * time.Millisecond
 	busyWait = 30 * time.Millisecond
-	// startRetry and callRetry are how long after it was sent a start and a
-	// stop without an answer are sent again.
-	startRetry = 40 * time.Millisecond
+	// StartRetry is how long after it was sent a start without an answer is
+	// sent again: Tick should be called then. callRetry is that of a stop.
+	StartRetry = 20 * time.Millisecond
 	callRetry  = 100 * time.Millisecond
 	// offerTime is how long room is held for an entry that wants it.
 	offerTime = 40 * time.Millisecond
@@ -106,6 +106,8 @@
 	lastSeen uint64
 	clock    clock
 	health   health
+	// shakyUntil is until when the worker counts as one whose answers get lost.
+	shakyUntil time.Duration
 	// holdFaults is how many holds in a row were not answered well.
 	holdFaults int
 	// answeredAt is when the worker last answered a call.
@@ -171,6 +173,7 @@
 	s.report = &r
 	s.answeredAt = now
 	s.holdFaults = 0
+	s.shakyUntil = 0
 }
 
 // endLife ends all that the worker's present life ran.
@@ -366,15 +369,17 @@
 	}
 }
 
-// Pending reports whether a state waits to be told, so that Tick should be
-// called again after the returned time.
+// Pending reports whether a state waits to be told, so that Flush should be
+// called after the returned time.
 func (s *Supervisor) Pending(now time.Duration) (time.Duration, bool) {
+	var due time.Duration
+	found := false
 	for _, o := range s.owners {
-		if o.changed {
-			return max(0, o.toldAt+s.stateInterval()-now), true
+		if at := o.toldAt + s.stateInterval(); o.changed && (!found || at < due) {
+			due, found = at, true
 		}
 	}
-	return 0, false
+	return max(0, due-now), found
 }
 
 // stateInterval returns the shortest time between two states for one entry.
--- a/worker/supervisor_test.go
+++ b/worker/supervisor_test.go
@@ -279,3 +279,35 @@
 	b.list(nil, nil)
 	assert.Equal(t, b.HoldPause(), time.Duration(0))
 }
+
+// TestLostAnswersCallForASecondHold: while the answer of one is lost, the other
+// tells what has ended.
+func TestLostAnswersCallForASecondHold(t *testing.T) {
+	b := newBench(t)
+	b.orders(order(1, 1000))
+	assert.Assert(t, !b.Shaky(b.now))
+	c, _ := b.NextHold(b.now)
+	b.now += 70 * ms
+	b.HoldAnswered(b.now, c, Reply{Outcome: NoAnswer}, nil)
+	assert.Assert(t, b.Shaky(b.now))
+	first, _ := b.NextHold(b.now)
+	second, _ := b.NextHold(b.now)
+	b.now += 5 * ms
+	lists := &HoldAnswer{Ended: []EndedRow{{N: 1, Name: b.starts[0].Order.Task.String(), Run: 1, End: task.EndDone}}}
+	b.HoldAnswered(b.now, second, b.reply(Accepted), lists)
+	b.HoldAnswered(b.now, first, b.reply(Accepted), lists)
+	assert.Equal(t, len(b.ends()), 1) // told once
+	assert.Assert(t, !b.Shaky(b.now)) // nothing runs
+	assert.Assert(t, !b.Shaky(b.now+shakyTime))
+}
+
+// TestASilentWorkerGetsNoSecondHold: where nothing is answered, more calls tell
+// nothing more.
+func TestASilentWorkerGetsNoSecondHold(t *testing.T) {
+	b := newBench(t)
+	b.orders(order(1, 1000))
+	c, _ := b.NextHold(b.now)
+	b.beat(silence + 10*ms)
+	b.HoldAnswered(b.now, c, Reply{Outcome: NoAnswer}, nil)
+	assert.Assert(t, !b.Shaky(b.now))
+}
