Orders that were only turned down begin no job; the rate of starts counts from 120 ms

And a rate of starts was known only after 250 ms of waiting, half of most objectives.

Change: an order that its agent turned down for want of room, as not taking or for a stale lease has begun nothing; other rejections still count as begun. A waiting job may be refused after a tenth of its objective in place of a fifth, when it would have to wait longer than its latest start (twice as long before); the rate counts from 120 ms of waiting on.

--- a/owner/follow.go
+++ b/owner/follow.go
@@ -191,7 +191,7 @@
 			return
 		}
 	case task.EndRejected:
-		o.bounced(now, a, t, e)
+		o.bounced(now, a, j, t, e)
 	default:
 		t.avoid = a.name
 		t.avoidUntil = now + bounceTime
@@ -233,9 +233,17 @@
 	return true
 }
 
+// turnedDown reports whether an order with that end never left its agent.
+func turnedDown(why code.Code) bool {
+	return why == code.RunNoRoom || why == code.RunNotTaking || why == code.RunStaleOwner
+}
+
 // bounced takes note of a run that did not begin.
-func (o *Owner) bounced(now time.Duration, a *agent, t *taskState, e peer.Ended) {
+func (o *Owner) bounced(now time.Duration, a *agent, j *job, t *taskState, e peer.Ended) {
 	o.stats.Bounced++
+	if turnedDown(e.Reason) {
+		j.orders--
+	}
 	t.tries--
 	t.avoid = a.name
 	t.avoidUntil = now + bounceTime
@@ -254,13 +262,13 @@
 	case j.dieBy > 0 && now >= j.dieBy-dieMargin:
 		o.giveUp(now, j, code.JobCallerLeaves)
 		return
-	case !j.begun && now+j.least() > j.lateBy:
+	case !j.begun() && now+j.least() > j.lateBy:
 		o.giveUp(now, j, code.JobHopeless)
 		return
-	case !j.begun && j.dieBy > 0 && now+j.least() > j.dieBy:
+	case !j.begun() && j.dieBy > 0 && now+j.least() > j.dieBy:
 		o.giveUp(now, j, code.JobCallerLeaves)
 		return
-	case j.begun && now > j.arrived+time.Duration(j.sure()*float64(j.lateBy-j.arrived)):
+	case j.begun() && now > j.arrived+time.Duration(j.sure()*float64(j.lateBy-j.arrived)):
 		o.giveUp(now, j, code.JobTooLate)
 		return
 	}
@@ -299,7 +307,7 @@
 
 // giveUp answers j without its work being done.
 func (o *Owner) giveUp(now time.Duration, j *job, why code.Code) {
-	if j.begun {
+	if j.begun() {
 		o.answer(now, j, Answer{Kind: GivenUp, Why: why, Retry: retryAfter})
 		return
 	}
--- a/owner/job.go
+++ b/owner/job.go
@@ -52,7 +52,7 @@
 	steps     []stepState
 	undone    int
 	failedAt  []string // the agents at which a run of it has failed
-	begun     bool     // an order to start a task of it was sent
+	orders    int      // orders to start a task of it that no agent has turned down
 	waiters   map[uint64]func(Answer)
 	size      float64 // its work against its queue's usual, less one
 	rank      time.Duration
@@ -81,6 +81,11 @@
 	return j
 }
 
+// begun reports whether a task of j may have been started on a worker.
+func (j *job) begun() bool {
+	return j.orders > 0
+}
+
 // failedElsewhere reports whether a run of j has failed at another agent.
 func (j *job) failedElsewhere(agent string) bool {
 	for _, name := range j.failedAt {
--- a/owner/overload.go
+++ b/owner/overload.go
@@ -14,14 +14,14 @@
 	// shedShare is the share of its objective after which a job that will
 	// not be served in time is refused: until then it costs its caller
 	// little, and the load may turn.
-	shedShare = 0.2
+	shedShare = 0.10
 	// shedMargin is how many times as long as is left before its latest
 	// start a job must have to wait to be refused.
-	shedMargin = 2.0
+	shedMargin = 1.0
 	// paceTime is what the pace of starts looks back over; paceLeast is how
 	// long jobs must have been waiting for it to tell when room comes.
 	paceTime  = 400 * time.Millisecond
-	paceLeast = 250 * time.Millisecond
+	paceLeast = 120 * time.Millisecond
 	// meanShare is the weight of one job in its queue's usual work.
 	meanShare = 0.02
 )
@@ -140,7 +140,7 @@
 	aimed := false
 	for _, j := range order {
 		wait := time.Duration(ahead / rate * float64(time.Second))
-		if !j.begun && o.hopelesslyBehind(now, j, wait, aimed) {
+		if !j.begun() && o.hopelesslyBehind(now, j, wait, aimed) {
 			o.answer(now, j, Answer{Kind: Refused, Why: code.JobBehind, Retry: o.retryAfter(wait)})
 			continue
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -168,7 +168,7 @@
 		return
 	}
 	o.stats.Cancelled++
-	o.Log.Info(event.JobCancelled, "job", id, "begun", j.begun, "age_ms", (now - j.arrived).Milliseconds())
+	o.Log.Info(event.JobCancelled, "job", id, "begun", j.begun(), "age_ms", (now - j.arrived).Milliseconds())
 	o.drop(now, j)
 }
 
@@ -188,7 +188,7 @@
 func (o *Owner) Waiting(queue string) int {
 	count := 0
 	for _, j := range o.jobs {
-		if j.spec.Queue == queue && !j.begun {
+		if j.spec.Queue == queue && !j.begun() {
 			count++
 		}
 	}
@@ -223,7 +223,7 @@
 	case Cancelled:
 		o.stats.Cancelled++
 	}
-	o.Log.Info(event.JobAnswered, "job", j.spec.ID, "queue", j.spec.Queue, "kind", int(a.Kind), "why", a.Why.String(), "begun", j.begun,
+	o.Log.Info(event.JobAnswered, "job", j.spec.ID, "queue", j.spec.Queue, "kind", int(a.Kind), "why", a.Why.String(), "begun", j.begun(),
 		"age_ms", (now - j.arrived).Milliseconds(), "objective_ms", j.spec.Objective().Milliseconds(), "undone", j.undone)
 	waiters := j.waiters
 	j.waiters = nil
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -322,3 +322,20 @@
 	b.submit(j)
 	assert.Equal(t, len(b.starts("a")), 2)
 }
+
+// TestAJobThatWasOnlyTurnedDownIsRefused: no agent has asked its worker to start
+// a task of it, so the refusal is true, and need not wait until it is too late.
+func TestAJobThatWasOnlyTurnedDownIsRefused(t *testing.T) {
+	for why, kind := range map[code.Code]Kind{
+		code.RunNoRoom: Refused, code.RunNotTaking: Refused, code.RunStaleOwner: Refused,
+		code.RunAbsent: GivenUp, code.RunPresent: GivenUp, code.RunOld: GivenUp, // a worker may have been asked
+	} {
+		b := newBench(t, "a")
+		b.submit(jobOf("1", 1))
+		b.state("a", 0, 1, peer.Well)
+		b.ended("a", b.starts("a")[0], task.EndRejected, why)
+		assert.Equal(t, len(b.answers), 0)
+		b.wait(3 * time.Second)
+		assert.Equal(t, b.answers["1"].Kind, kind, why.String())
+	}
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -131,7 +131,7 @@
 	s := j.spec.Steps[step]
 	t := &j.steps[step].tasks[index]
 	j.set(step, index, placed)
-	j.begun = true
+	j.orders++
 	t.run++
 	t.tries++
 	t.agent = a.name
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -49,7 +49,7 @@
 	if j.spec.Priority > 0 {
 		shift += urgentPenalty + time.Duration(j.spec.Priority)*priorityPenalty
 	}
-	if j.begun {
+	if j.begun() {
 		shift -= begunBonus
 	}
 	if latest := j.latest(); now <= latest {
--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -158,9 +158,11 @@
 		c.checkFailed()
 	case owner.GivenUp:
 		w.Counts.GivenUp++
+		c.unserved()
 	case owner.Refused:
 		w.Counts.Refused++
 		c.refused++
+		c.unserved()
 	}
 }
 
--- a/testutil/fleet/workload.go
+++ b/testutil/fleet/workload.go
@@ -74,6 +74,9 @@
 type Credit struct {
 	Jobs, InAim, Late int
 	Owed, Earned      float64
+	// Held is the worth of the jobs that were not served, and were not offered
+	// to a worker either, though they waited for long.
+	Held float64
 }
 
 // Share returns what was earned of what was owed.
@@ -86,7 +89,8 @@
 
 // Plus returns the sum of c and o.
 func (c Credit) Plus(o Credit) Credit {
-	return Credit{Jobs: c.Jobs + o.Jobs, InAim: c.InAim + o.InAim, Late: c.Late + o.Late, Owed: c.Owed + o.Owed, Earned: c.Earned + o.Earned}
+	return Credit{Jobs: c.Jobs + o.Jobs, InAim: c.InAim + o.InAim, Late: c.Late + o.Late, Owed: c.Owed + o.Owed,
+		Earned: c.Earned + o.Earned, Held: c.Held + o.Held}
 }
 
 // Total returns the credit of all classes together.
@@ -199,6 +203,17 @@
 	}
 }
 
+// heldShare is the share of its objective from which on a job that is refused
+// counts as held.
+const heldShare = 0.25
+
+// unserved takes note of a job that was refused or given up.
+func (c *client) unserved() {
+	if c.work > 0 && !c.started && c.w.now()-c.sentAt > time.Duration(heldShare*float64(c.objective())) {
+		c.w.Credits[c.class].Held += c.worth
+	}
+}
+
 // KillAll ends all processes at once, and those who call find nobody until they
 // are back: their workers run on.
 func (w *World) KillAll() {
