Histograms of each stage and counts of answers by cause

Entries tell how long jobs wait, how far apart their orders are and how long tasks run; agents how long a start and a stop take. Answers are counted by their numbered cause, those at the door too. docs/metrics-node.md is compared with the code as before; the comparison now reads labels of histograms.

--- a/node/agent.go
+++ b/node/agent.go
@@ -30,6 +30,7 @@
 	metrics      *metrics.Set
 	startSeconds *metrics.Histogram
 	holdSeconds  *metrics.Histogram
+	stages       [worker.Stages]*metrics.Histogram
 
 	mu         sync.Mutex
 	supervisor *worker.Supervisor
@@ -69,6 +70,7 @@
 	a.supervisor.Start = func(c worker.StartCall) { go a.start(c) }
 	a.supervisor.Stop = func(c worker.StopCall) { go a.stopRun(c) }
 	a.supervisor.Send = a.send
+	a.supervisor.Observe = func(s worker.Stage, took time.Duration) { a.stages[s].Update(took.Seconds()) }
 	return a
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 
+	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/event"
 	"github.com/beaconpoint/beaconpoint/owner"
 	"github.com/beaconpoint/beaconpoint/peer"
@@ -55,6 +56,8 @@
 
 	metrics   *metrics.Set
 	submitted *metrics.Histogram
+	stages    [owner.Stages]*metrics.Histogram
+	answers   map[code.Code]*metrics.Counter
 
 	table   atomic.Pointer[routing.Table]
 	leaving atomic.Bool
@@ -80,6 +83,8 @@
 	e.startedAt = e.clock.now()
 	e.metrics = newEntryMetrics(e)
 	e.owner.Send = e.send
+	e.owner.Observe = func(s owner.Stage, took time.Duration) { e.stages[s].Update(took.Seconds()) }
+	e.owner.Answered = e.CountAnswer
 	e.owner.Far = s.Far
 	return e
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
+
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/owner"
+	"github.com/beaconpoint/beaconpoint/worker"
 )
 
 // MetricsPath is where a node's counters are served.
@@ -59,9 +64,31 @@
 	count("beaconpoint_agents", func() uint64 { return uint64(e.linked.Load()) })
 	count("beaconpoint_config_version", e.version)
 	e.submitted = set.NewHistogram("beaconpoint_answer_seconds")
+	for k := range owner.Stages {
+		e.stages[k] = set.NewHistogram(fmt.Sprintf("beaconpoint_stage_seconds{stage=%q}", k))
+	}
+	e.answers = make(map[code.Code]*metrics.Counter)
+	for _, c := range answerCauses {
+		entry, _ := code.Lookup(c)
+		e.answers[c] = set.NewCounter(fmt.Sprintf("beaconpoint_answers_total{why=%q}", entry.Name))
+	}
 	return set
 }
 
+// answerCauses are the codes that an entry answers jobs with.
+var answerCauses = []code.Code{
+	code.JobAllDone, code.JobAttempts, code.JobHopeless, code.JobTooLate, code.JobCallerLeaves, code.JobCancelled,
+	code.JobUnsupported, code.JobNoConfig, code.JobBehind, code.QueueFull,
+}
+
+// CountAnswer counts an answer by its cause. It is called for requests that are
+// turned away before they become jobs, too.
+func (e *Entry) CountAnswer(why code.Code) {
+	if c := e.answers[why]; c != nil {
+		c.Inc()
+	}
+}
+
 // newAgentMetrics returns the set of an agent.
 func newAgentMetrics(a *Agent) *metrics.Set {
 	set := metrics.NewSet()
@@ -72,5 +99,8 @@
 	set.NewGauge("beaconpoint_worker_speed", func() float64 { return a.stats().Speed })
 	a.startSeconds = set.NewHistogram("beaconpoint_start_call_seconds")
 	a.holdSeconds = set.NewHistogram("beaconpoint_hold_call_seconds")
+	for k := range worker.Stages {
+		a.stages[k] = set.NewHistogram(fmt.Sprintf("beaconpoint_stage_seconds{stage=%q}", k))
+	}
 	return set
 }
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -23,12 +23,18 @@
 	found := make(map[string]bool)
 	for line := range strings.Lines(out.String()) {
 		name := line[:strings.LastIndexByte(line, ' ')]
-		if k := strings.Index(name, "_bucket"); k > 0 {
-			name = name[:k]
+		base, labels, _ := strings.Cut(name, "{")
+		if strings.HasSuffix(base, "_sum") || strings.HasSuffix(base, "_count") {
+			continue
 		}
-		if !strings.HasSuffix(name, "_sum") && !strings.HasSuffix(name, "_count") {
-			found[name] = true
+		if whole, ok := strings.CutSuffix(base, "_bucket"); ok {
+			labels = vmrange.ReplaceAllString(labels, "")
+			name = whole
+			if labels != "}" {
+				name += "{" + labels
+			}
 		}
+		found[name] = true
 	}
 	var list []string
 	for name := range found {
@@ -37,6 +43,9 @@
 	return list
 }
 
+// vmrange is the label of a histogram's bucket.
+var vmrange = regexp.MustCompile(`,?vmrange="[^"]*"`)
+
 func TestMetricsPageFitsTheCode(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
 	e := NewEntry(settings.DefaultNode(), Directory{}, ConfigSource{}, log)
@@ -44,6 +53,9 @@
 	a := NewAgent(settings.DefaultNode(), Directory{}, WorkerCalls{}, log)
 	a.startSeconds.UpdateDuration(time.Now())
 	a.holdSeconds.UpdateDuration(time.Now())
+	for _, h := range slices.Concat(e.stages[:], a.stages[:]) {
+		h.Update(1)
+	}
 	inCode := append(names(e.metrics), names(a.metrics)...)
 	page, err := os.ReadFile("../docs/metrics-node.md")
 	assert.NilError(t, err)
--- a/owner/follow.go
+++ b/owner/follow.go
@@ -184,6 +184,7 @@
 	switch e.End {
 	case task.EndDone:
 		o.learn(j, id.Step, a, e.Took)
+		o.observe(StageRunning, now-t.sentAt)
 		o.taskDone(now, j, id)
 		return
 	case task.EndFailed:
--- a/owner/job.go
+++ b/owner/job.go
@@ -47,6 +47,9 @@
 	aimBy   time.Duration // when it stops counting in full
 	lateBy  time.Duration // when it stops counting
 	dieBy   time.Duration // when the caller stops waiting; zero: never
+	// firstOrder and lastOrder are when the first and the latest order to start
+	// a task was sent; zero: none yet.
+	firstOrder, lastOrder time.Duration
 	// notBefore is when runs of an earlier submission are surely over.
 	notBefore time.Duration
 	steps     []stepState
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,6 +35,10 @@
 	Send func(agent string, f *peer.Frame) uint64
 	// Random returns a number from 0 up to but not including 1.
 	Random func() float64
+	// Observe, where it is set, is told how long each stage of a job took, and
+	// Answered why each job was answered as it was.
+	Observe  func(Stage, time.Duration)
+	Answered func(code.Code)
 	// Log takes a line for each decision.
 	Log *slog.Logger
 	// Clear is ClearTime, but in tests.
@@ -94,6 +98,7 @@
 	if j == nil && len(o.jobs) >= maxJobs {
 		o.stats.Refused++
 		o.Log.Info(event.JobRefused, "job", spec.ID, "request", spec.Request, "jobs", len(o.jobs), "why", code.QueueFull.String())
+		o.count(code.QueueFull)
 		answer(Answer{Kind: Refused, Why: code.QueueFull, Retry: retryAfter})
 		return o.waiters
 	}
@@ -225,6 +230,10 @@
 	}
 	o.Log.Info(event.JobAnswered, "job", j.spec.ID, "queue", j.spec.Queue, "kind", int(a.Kind), "why", a.Why.String(), "begun", j.begun(),
 		"age_ms", (now - j.arrived).Milliseconds(), "objective_ms", j.spec.Objective().Milliseconds(), "undone", j.undone)
+	if a.Kind == Completed {
+		o.observe(StagePlacing, j.lastOrder-j.firstOrder)
+	}
+	o.count(a.Why)
 	waiters := j.waiters
 	j.waiters = nil
 	o.drop(now, j)
@@ -233,6 +242,13 @@
 	}
 }
 
+// count tells why a job was answered.
+func (o *Owner) count(why code.Code) {
+	if o.Answered != nil {
+		o.Answered(why)
+	}
+}
+
 // drop forgets j and has its runs stopped.
 func (o *Owner) drop(now time.Duration, j *job) {
 	delete(o.jobs, j.spec.ID)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -339,3 +339,24 @@
 		assert.Equal(t, b.answers["1"].Kind, kind, why.String())
 	}
 }
+
+func TestStagesAndCausesAreTold(t *testing.T) {
+	b := newBench(t, "a")
+	took := make(map[Stage][]time.Duration)
+	var causes []code.Code
+	b.Observe = func(s Stage, d time.Duration) { took[s] = append(took[s], d) }
+	b.Answered = func(why code.Code) { causes = append(causes, why) }
+	b.state("a", 1000, 1, peer.Well)
+	b.submit(jobOf("1", 2)) // there is room for one of its tasks
+	first := b.starts("a")[0]
+	b.now += 30 * ms
+	b.state("a", 1000, 1, peer.Well)
+	second := b.starts("a")[1]
+	b.now += 70 * ms
+	b.ended("a", first, task.EndDone, code.RunListed)
+	b.ended("a", second, task.EndDone, code.RunListed)
+	assert.DeepEqual(t, took[StageWaiting], []time.Duration{0})
+	assert.DeepEqual(t, took[StagePlacing], []time.Duration{30 * ms})
+	assert.DeepEqual(t, took[StageRunning], []time.Duration{100 * ms, 70 * ms})
+	assert.DeepEqual(t, causes, []code.Code{code.JobAllDone})
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -132,6 +132,11 @@
 	t := &j.steps[step].tasks[index]
 	j.set(step, index, placed)
 	j.orders++
+	if j.firstOrder == 0 {
+		j.firstOrder = now
+		o.observe(StageWaiting, now-j.arrived)
+	}
+	j.lastOrder = now
 	t.run++
 	t.tries++
 	t.agent = a.name
--- a/worker/run.go
+++ b/worker/run.go
@@ -32,6 +32,7 @@
 	settled   bool
 	settledAt time.Duration
 	stopping  bool
+	stoppedAt time.Duration // when its stop was decided
 	stopTries int
 	reason    code.Code // of the stop
 	trial     bool      // began while the worker was sick
@@ -95,6 +96,7 @@
 	case Accepted:
 		if !r.answered {
 			r.answered = true
+			s.observe(StageStarting, now-r.began)
 			r.began = now
 		}
 		r.settle(now)
@@ -155,6 +157,7 @@
 		return
 	}
 	r.stopping = true
+	r.stoppedAt = now
 	r.reason = reason
 	s.Log.Info(event.RunStopping, "task", r.name, "run", r.order.Run, "entry", r.owner.name, "why", reason.String(),
 		"age_ms", (now - r.began).Milliseconds())
@@ -221,6 +224,9 @@
 func (s *Supervisor) finish(now time.Duration, r *run, end task.End, reason code.Code) {
 	delete(s.runs, r.name)
 	s.used = s.used.Minus(r.order.Needs)
+	if r.stopping {
+		s.observe(StageEnding, now-r.stoppedAt)
+	}
 	blameless := end != task.EndFailed
 	if r.answered && (end == task.EndDone || end == task.EndFailed) {
 		if s.health.ended(r, end, max(0, s.listedBefore-r.began), now-r.began) {
--- /dev/null
+++ b/worker/stage.go
@@ -0,0 +1,33 @@
+package worker
+
+import "time"
+
+// Stage is a part of a run's way through an agent.
+type Stage uint8
+
+// Stages of a run.
+const (
+	// StageStarting lasts from the order of a run to the worker's word that it
+	// has begun.
+	StageStarting Stage = iota
+	// StageEnding lasts from the decision to stop a run to the word of its end.
+	StageEnding
+
+	// Stages is the number of stages.
+	Stages
+)
+
+// stageNames are the stages' names in metrics.
+var stageNames = [Stages]string{"starting", "ending"}
+
+// String returns the stage's name in metrics.
+func (s Stage) String() string {
+	return stageNames[s]
+}
+
+// observe tells how long a stage of a run took.
+func (s *Supervisor) observe(stage Stage, took time.Duration) {
+	if s.Observe != nil {
+		s.Observe(stage, took)
+	}
+}
--- a/worker/supervisor.go
+++ b/worker/supervisor.go
@@ -92,6 +92,8 @@
 	Stop  func(StopCall)
 	// Send sends a frame to an entry.
 	Send func(ConnID, *peer.Frame)
+	// Observe, where it is set, is told how long each stage of a run took.
+	Observe func(Stage, time.Duration)
 	// Log takes a line for each decision.
 	Log *slog.Logger
 	// Rules are as DefaultRules returns them, but in tests.
