--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -48,6 +48,7 @@
 	Store   *metastore.Store
 	store   string
 	Workers []*jobworker.Worker
+	wrap    func(http.Handler) http.Handler // put around the workers' interface
 	Entries []*Process
 	Agents  []*Process
 }
@@ -76,7 +77,14 @@
 // Start starts a system and waits until every entry is ready.
 func Start(tb testing.TB, entries, agents int) *System {
 	tb.Helper()
-	s := &System{tb: tb, Store: metastore.NewStore()}
+	return StartWrapped(tb, entries, agents, func(h http.Handler) http.Handler { return h })
+}
+
+// StartWrapped starts a system in which wrap is put around each worker's
+// interface, to see or change what agents ask of it.
+func StartWrapped(tb testing.TB, entries, agents int, wrap func(http.Handler) http.Handler) *System {
+	tb.Helper()
+	s := &System{tb: tb, Store: metastore.NewStore(), wrap: wrap}
 	server := httptest.NewServer(s.Store)
 	tb.Cleanup(server.Close)
 	s.store = strings.TrimPrefix(server.URL, "http://")
@@ -103,7 +111,7 @@
 
 func (s *System) addAgent(k int) {
 	w := jobworker.NewWorker(Service, 4000)
-	server := httptest.NewServer(w)
+	server := httptest.NewServer(s.wrap(w))
 	s.tb.Cleanup(server.Close)
 	s.Workers = append(s.Workers, w)
 	n := s.node(peer.RoleAgent, fmt.Sprintf("side-%d", k))
