Agents: files by what they do; no polling for entries that are there

An agent looked 25 times a second for missing entries and 25 times for being alone: it now waits until a connection ends or the list names another, and looks for being alone twice a second.

--- a/node/agent.go
+++ b/node/agent.go
@@ -42,6 +42,7 @@
 	flushing   bool
 	awake      chan struct{} // the worker has sent a heartbeat
 	shaken     chan struct{} // answers of the worker get lost
+	parted     chan struct{} // an entry may be missing
 }
 
 // agentConn is a connection of an entry.
@@ -65,6 +66,7 @@
 		entries:    make(map[string]string),
 		awake:      make(chan struct{}, 1),
 		shaken:     make(chan struct{}, 1),
+		parted:     make(chan struct{}, 1),
 	}
 	a.metrics = newAgentMetrics(a)
 	a.supervisor.Start = func(c worker.StartCall) { go a.start(c) }
@@ -187,6 +189,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.conns, id)
+	a.part()
 	a.supervisor.Disconnected(a.clock.now(), id)
 	a.later()
 }
@@ -258,198 +261,3 @@
 	}
 	return nil
 }
-
-func (a *Agent) start(c worker.StartCall) {
-	began := time.Now()
-	retry := time.AfterFunc(worker.StartRetry+time.Millisecond, a.look)
-	reply := a.calls.Start(c)
-	retry.Stop()
-	a.startSeconds.UpdateDuration(began)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.supervisor.StartAnswered(a.clock.now(), c, reply)
-	a.later()
-}
-
-// look has the state machine look at what has run out of time.
-func (a *Agent) look() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.supervisor.Tick(a.clock.now())
-	a.later()
-}
-
-func (a *Agent) stopRun(c worker.StopCall) {
-	reply := a.calls.Stop(c)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.supervisor.StopAnswered(a.clock.now(), c, reply)
-	a.later()
-}
-
-// hold keeps the worker's lease and reads its lists.
-func (a *Agent) hold(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if !a.holdOnce(ctx) {
-			select {
-			case <-ctx.Done():
-			case <-a.awake:
-			}
-		}
-	}
-	return nil
-}
-
-// holdBeside keeps a second hold under way while answers get lost.
-func (a *Agent) holdBeside(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.shaken:
-		}
-		for a.shaky() && a.holdOnce(ctx) {
-		}
-	}
-}
-
-// shaky reports whether answers of the worker get lost.
-func (a *Agent) shaky() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.supervisor.Shaky(a.clock.now())
-}
-
-// holdOnce makes one hold, and the pause after one that failed. It reports
-// whether there is a worker.
-func (a *Agent) holdOnce(ctx context.Context) bool {
-	a.mu.Lock()
-	c, ok := a.supervisor.NextHold(a.clock.now())
-	a.mu.Unlock()
-	if !ok || ctx.Err() != nil {
-		return false
-	}
-	began := time.Now()
-	reply, answer := a.calls.Hold(c)
-	a.holdSeconds.UpdateDuration(began)
-	a.mu.Lock()
-	a.supervisor.HoldAnswered(a.clock.now(), c, reply, answer)
-	pause := a.supervisor.HoldPause() - time.Since(began)
-	a.later()
-	a.mu.Unlock()
-	a.pause(ctx, pause)
-	return true
-}
-
-// pause waits, or until the worker has sent a heartbeat.
-func (a *Agent) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-a.awake:
-	case <-timer.C:
-	}
-}
-
-// find learns of the entries and registers the agent, and again when it has
-// been without any entry for a while. The list comes first: an agent that knows
-// the entries makes itself known to them.
-func (a *Agent) find(ctx context.Context) error {
-	own := Member{Name: a.settings.Name, Addr: a.settings.Peers}
-	for ctx.Err() == nil {
-		untilDone(ctx, a.log, "list", func(try context.Context) error {
-			entries, err := a.directory.List(try, peer.RoleEntry)
-			a.learn(entries)
-			return err
-		})
-		untilDone(ctx, a.log, "register", func(try context.Context) error { return a.directory.Register(try, peer.RoleAgent, own) })
-		for alone := time.Duration(0); alone < loneTime && sleep(ctx, dialRetry); alone += dialRetry {
-			if a.connected() > 0 {
-				alone = 0
-			}
-		}
-	}
-	return nil
-}
-
-func (a *Agent) learn(entries []Member) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, m := range entries {
-		a.entries[m.Name] = m.Addr
-	}
-}
-
-func (a *Agent) connected() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.conns)
-}
-
-// introduce makes the agent known to entries that have no connection here: an
-// entry that has restarted while the store is down finds its agents so.
-func (a *Agent) introduce(ctx context.Context) error {
-	waits := make(map[string]time.Duration)
-	due := make(map[string]time.Duration)
-	for sleep(ctx, dialRetry) {
-		now := a.clock.now()
-		for name, addr := range a.missing() {
-			if now < due[name] {
-				continue
-			}
-			waits[name] = min(max(2*waits[name], dialRetry), dialRetryMax)
-			due[name] = now + waits[name]
-			go a.introduceTo(ctx, addr)
-		}
-		for name := range waits {
-			if a.has(name) {
-				delete(waits, name)
-				delete(due, name)
-			}
-		}
-	}
-	return nil
-}
-
-// missing returns the entries that are known and not connected.
-func (a *Agent) missing() map[string]string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list := make(map[string]string)
-	for name, addr := range a.entries {
-		list[name] = addr
-	}
-	for _, c := range a.conns {
-		delete(list, c.name)
-	}
-	return list
-}
-
-func (a *Agent) has(name string) bool {
-	_, missing := a.missing()[name]
-	return !missing
-}
-
-// introduceTo tells one entry where this agent is, and the configuration.
-func (a *Agent) introduceTo(ctx context.Context, addr string) {
-	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return
-	}
-	defer raw.Close()
-	hello := &peer.Hello{Role: peer.RoleAgent, Name: a.settings.Name, Addr: a.settings.Peers, Introduce: true}
-	a.mu.Lock()
-	f := &peer.Frame{Hello: hello, Config: a.config, Document: a.document}
-	a.mu.Unlock()
-	buf, err := peer.AppendFrame(nil, f)
-	if err != nil {
-		return
-	}
-	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
-	_, _ = raw.Write(buf)
-	_, _ = raw.Read(make([]byte, 1)) // until the entry closes
-}
--- a/node/seams.go
+++ b/node/seams.go
@@ -73,8 +73,9 @@
 	// be gone for good; one that lives registers anew.
 	forgetTime = 2 * time.Minute
 	// loneTime is how long an agent is without an entry before it registers
-	// anew.
+	// anew; lonePoll is how often it looks.
 	loneTime = 3 * time.Second
+	lonePoll = 500 * time.Millisecond
 )
 
 // steady is a process's own clock. It begins at one second, so that zero never
--- a/worker/supervisor.go
+++ b/worker/supervisor.go
@@ -6,7 +6,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
@@ -144,72 +143,6 @@
 	}
 }
 
-// Heartbeat takes a worker's report.
-func (s *Supervisor) Heartbeat(now time.Duration, r Report) {
-	defer s.flush(now)
-	if s.report != nil && s.report.ID == r.ID && r.Seq < s.report.Seq {
-		return // passed by a later one
-	}
-	if s.report == nil || s.report.ID != r.ID {
-		s.newLife(now, r)
-	}
-	if !s.report.Draining && r.Draining {
-		s.Log.Info(event.WorkerDraining, "worker", r.ID)
-	}
-	if r.HasClock && !s.clock.known {
-		s.clock.told(r.Clock, now)
-	}
-	r.Draining = r.Draining || s.report.Draining
-	s.report = &r
-	s.reportAt = now
-	if p := r.profile(); s.profile == nil || !s.profile.Equal(p) {
-		s.profile = &p
-	}
-	s.changed()
-}
-
-// newLife begins anew with a worker that runs nothing of ours.
-func (s *Supervisor) newLife(now time.Duration, r Report) {
-	s.Log.Info(event.WorkerLife, "worker", r.ID, "before", s.life(), "runs", len(s.runs))
-	s.endLife(now)
-	s.report = &r
-	s.answeredAt = now
-	s.holdFaults = 0
-	s.shakyUntil = 0
-}
-
-// endLife ends all that the worker's present life ran.
-func (s *Supervisor) endLife(now time.Duration) {
-	for _, r := range s.sortedRuns() {
-		s.finish(now, r, task.EndLost, code.RunWorkerGone)
-	}
-	s.report = nil
-	s.empty = false
-	s.token = 0
-	s.lastSeen = 0
-	s.clock = clock{}
-	s.promised = 0
-	s.health = newHealth()
-	s.changed()
-}
-
-// Deregister takes a worker's word that it ends now.
-func (s *Supervisor) Deregister(now time.Duration, id string) {
-	defer s.flush(now)
-	if s.life() == id {
-		s.Log.Info(event.WorkerDeregistered, "worker", id, "runs", len(s.runs))
-		s.report.Draining = true
-		s.changed()
-	}
-}
-
-// Leave makes the agent take no new work, because it stops itself.
-func (s *Supervisor) Leave(now time.Duration) {
-	defer s.flush(now)
-	s.leaving = true
-	s.changed()
-}
-
 // Stats is what a supervisor tells for its process's metrics.
 type Stats struct {
 	Runs, FreeCPU, Sick int
@@ -230,19 +163,6 @@
 	return len(s.runs) == 0
 }
 
-// life returns the id of the worker's life, empty where none is known.
-func (s *Supervisor) life() string {
-	if s.report == nil {
-		return ""
-	}
-	return s.report.ID
-}
-
-// taking reports whether the worker may be given work.
-func (s *Supervisor) taking(now time.Duration) bool {
-	return s.report != nil && s.empty && !s.report.Draining && !s.leaving && now-s.reportAt < staleReport && !s.silent(now)
-}
-
 // Connected takes note of a new connection of an entry.
 func (s *Supervisor) Connected(now time.Duration, id ConnID, name string) {
 	defer s.flush(now)
@@ -331,96 +251,3 @@
 func (s *Supervisor) leased(now time.Duration, o *owner) bool {
 	return now-o.echoed <= s.Rules.OwnerLease
 }
-
-// changed has every entry told of the worker's state.
-func (s *Supervisor) changed() {
-	for _, o := range s.owners {
-		o.changed = true
-	}
-}
-
-// noteHealth logs a change of the worker's health and has it told.
-func (s *Supervisor) noteHealth() {
-	s.Log.Info(event.WorkerHealth, "worker", s.life(), "sick", s.health.sick, "why", s.health.why.String(), "runs", len(s.runs))
-	s.changed()
-}
-
-// Flush sends the states that wait to be told.
-func (s *Supervisor) Flush(now time.Duration) {
-	s.flush(now)
-}
-
-// flush sends what is due to the entries.
-func (s *Supervisor) flush(now time.Duration) {
-	for _, o := range s.sortedOwners() {
-		if o.changed && (o.dirty || now-o.toldAt >= s.stateInterval()) {
-			o.out.State = s.state(now, o)
-			o.toldAt = now
-			o.changed = false
-			o.dirty = true
-		}
-		if !o.dirty {
-			continue
-		}
-		f := o.out
-		f.Stamp = now
-		o.sentAt = now
-		o.out = peer.Frame{}
-		o.dirty = false
-		s.Send(o.id, &f)
-	}
-}
-
-// Pending reports whether a state waits to be told, so that Flush should be
-// called after the returned time.
-func (s *Supervisor) Pending(now time.Duration) (time.Duration, bool) {
-	var due time.Duration
-	found := false
-	for _, o := range s.owners {
-		if at := o.toldAt + s.stateInterval(); o.changed && (!found || at < due) {
-			due, found = at, true
-		}
-	}
-	return max(0, due-now), found
-}
-
-// stateInterval returns the shortest time between two states for one entry.
-func (s *Supervisor) stateInterval() time.Duration {
-	return max(stateInterval, time.Duration(len(s.owners))*stateShare)
-}
-
-// Heartbeats sends each entry a frame that has got none since the given time, so
-// that it has a fresh stamp to echo.
-func (s *Supervisor) Heartbeats(now, since time.Duration) {
-	for _, o := range s.owners {
-		o.dirty = o.dirty || o.sentAt <= since
-	}
-	s.flush(now)
-}
-
-// state returns what o is told of the worker.
-func (s *Supervisor) state(now time.Duration, o *owner) *peer.State {
-	st := &peer.State{Cleared: s.orphans[o.name] == 0 && s.empty, Seen: o.seen, Taking: s.taking(now)}
-	if s.report == nil {
-		return st
-	}
-	if o.profile != s.profile {
-		o.profile = s.profile
-		st.Profile = s.profile
-	}
-	st.Free = s.free(now, o)
-	st.Speed = s.health.speed()
-	if s.health.sick {
-		st.Health = peer.Sick
-	}
-	return st
-}
-
-func (s *Supervisor) sortedOwners() []*owner {
-	list := make([]*owner, 0, len(s.owners))
-	for _, o := range s.owners {
-		list = append(list, o)
-	}
-	slices.SortFunc(list, func(a, b *owner) int { return int(a.id) - int(b.id) })
-	return list
-}
