A configuration's document goes only to who asks for it

Ruled out: load (the burst before was served), the store (entries had the configuration), the decisions (used room fell with the connections).

Change: frames name the version; who knows an older one asks one peer, and after 500 ms another. An entry waits 300 ms for its own watch first, unless it knows none. An entry sends at most 1 MB of documents a second. Agents introduce themselves without it.

--- a/node/agent.go
+++ b/node/agent.go
@@ -39,6 +39,7 @@
 	entries    map[string]string // addresses by name
 	document   []byte            // the newest configuration that any entry sent
 	config     uint64
+	asker      asker
 	flushing   bool
 	awake      chan struct{} // the worker has sent a heartbeat
 	shaken     chan struct{} // answers of the worker get lost
@@ -47,10 +48,9 @@
 
 // agentConn is a connection of an entry.
 type agentConn struct {
-	name   string
-	conn   *peer.Conn
-	echo   time.Duration
-	config uint64
+	name string
+	conn *peer.Conn
+	echo time.Duration
 }
 
 // NewAgent returns an agent that is not running yet.
@@ -202,12 +202,14 @@
 		return
 	}
 	c.echo = max(c.echo, f.Stamp)
-	c.config = max(c.config, f.Config)
 	if len(f.Document) > 0 && f.Config > a.config {
 		a.config = f.Config
 		a.document = f.Document
+		a.asker = asker{}
 	}
-	a.supervisor.Heard(a.clock.now(), id, f)
+	now := a.clock.now()
+	a.passDocument(now, id, f)
+	a.supervisor.Heard(now, id, f)
 	a.later()
 }
 
@@ -219,10 +221,6 @@
 	}
 	f.Echo = c.echo
 	f.Config = a.config
-	if c.config < a.config && c.echo > 0 {
-		f.Document = a.document
-		c.config = a.config
-	}
 	c.conn.Send(f)
 }
 
--- a/node/configure.go
+++ b/node/configure.go
@@ -71,6 +71,7 @@
 		return
 	}
 	e.document = document
+	e.asker = asker{}
 	e.table.Store(table)
 	if old == nil {
 		close(e.configured)
--- a/node/entry.go
+++ b/node/entry.go
@@ -53,6 +53,8 @@
 	owner    *owner.Owner
 	links    map[string]*link
 	document []byte
+	asker    asker
+	pacer    pacer
 
 	metrics   *metrics.Set
 	submitted *metrics.Histogram
--- a/node/introduce.go
+++ b/node/introduce.go
@@ -110,7 +110,7 @@
 	return !missing
 }
 
-// introduceTo tells one entry where this agent is, and the configuration.
+// introduceTo tells one entry where this agent is.
 func (a *Agent) introduceTo(ctx context.Context, addr string) {
 	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -118,10 +118,7 @@
 	}
 	defer raw.Close()
 	hello := &peer.Hello{Role: peer.RoleAgent, Name: a.settings.Name, Addr: a.settings.Peers, Introduce: true}
-	a.mu.Lock()
-	f := &peer.Frame{Hello: hello, Config: a.config, Document: a.document}
-	a.mu.Unlock()
-	buf, err := peer.AppendFrame(nil, f)
+	buf, err := peer.AppendFrame(nil, &peer.Frame{Hello: hello})
 	if err != nil {
 		return
 	}
--- a/node/link.go
+++ b/node/link.go
@@ -15,7 +15,6 @@
 	conn   *peer.Conn    // nil while there is none
 	echo   time.Duration // the agent's latest stamp
 	sentAt time.Duration // when the last frame was sent
-	config uint64        // the newest version that the agent is known to have
 	poke   chan struct{} // asks for a try at once
 }
 
@@ -110,7 +109,6 @@
 	defer e.mu.Unlock()
 	l.conn = c
 	l.echo = 0
-	l.config = 0
 	e.linked.Add(1)
 	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers}
 	l.sentAt = e.clock.now()
@@ -136,8 +134,9 @@
 		return
 	}
 	l.echo = max(l.echo, f.Stamp)
-	l.config = max(l.config, f.Config)
-	e.owner.Heard(e.clock.now(), l.member.Name, f)
+	now := e.clock.now()
+	e.passDocument(now, l.member.Name, f)
+	e.owner.Heard(now, l.member.Name, f)
 }
 
 // send sends the owner's frame to an agent. It is called with the lock held.
@@ -150,10 +149,6 @@
 	f.Stamp = l.sentAt
 	f.Echo = l.echo
 	f.Config = e.version()
-	if l.config < f.Config && l.echo > 0 {
-		f.Document = e.document
-		l.config = f.Config
-	}
 	return l.conn.Send(f)
 }
 
@@ -165,9 +160,6 @@
 	if err != nil || f.Hello == nil || f.Hello.Role != peer.RoleAgent {
 		return
 	}
-	if len(f.Document) > 0 {
-		e.take(f.Document)
-	}
 	e.know(ctx, Member{Name: f.Hello.Name, Addr: f.Hello.Addr})
 }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -41,8 +41,10 @@
 
 	// Hello opens each direction of a connection.
 	Hello *Hello
-	// Document hands over the configuration.
+	// Document hands over the configuration to a peer that has asked for it.
 	Document []byte
+	// Ask asks the receiver for its document.
+	Ask bool
 
 	// Of an entry: runs to start and to stop, the offer that this answers,
 	// and what more is wanted.
