--- a/owner/job.go
+++ b/owner/job.go
@@ -59,8 +59,8 @@
 	waiters   map[uint64]func(Answer)
 	size      float64 // its work against its queue's usual, less one
 	rank      time.Duration
-	queue     *queue
-	spread    time.Duration // how long its waiting tasks' starts are apart
+	queue     *queue        // that it waits in
+	spread    time.Duration // from the first to the last start of its waiting tasks
 	index     int           // in the queue's heap, -1 when not in it
 }
 
--- a/owner/overload.go
+++ b/owner/overload.go
@@ -78,37 +78,22 @@
 	}
 }
 
-// perSecond returns the work started a second while jobs have been waiting,
-// since the given time, or zero where that is too short a time to tell.
-func (p *pace) perSecond(now, since time.Duration) float64 {
+// rates returns how much work and how many tasks were started a second while jobs
+// have been waiting, since the given time, or zeros where that is too short a time
+// to tell.
+func (p *pace) rates(now, since time.Duration) (work, tasks float64) {
 	p.trim(now)
 	if now-since < paceLeast {
-		return 0
-	}
-	sum := 0.0
-	for _, s := range p.starts {
-		if s.at >= since {
-			sum += s.work
-		}
-	}
-	return sum / min(now-since, paceTime).Seconds()
-}
-
-// startsPerSecond returns how many tasks were started a second while jobs have
-// been waiting, since the given time, or zero where that is too short a time to
-// tell.
-func (p *pace) startsPerSecond(now, since time.Duration) float64 {
-	p.trim(now)
-	if now-since < paceLeast {
-		return 0
+		return 0, 0
 	}
-	count := 0
 	for _, s := range p.starts {
 		if s.at >= since {
-			count++
+			work += s.work
+			tasks++
 		}
 	}
-	return float64(count) / min(now-since, paceTime).Seconds()
+	seconds := min(now-since, paceTime).Seconds()
+	return work / seconds, tasks / seconds
 }
 
 // waitingWork returns the work of j's tasks that wait.
@@ -127,7 +112,7 @@
 	if len(q.jobs) == 0 {
 		return
 	}
-	rate := q.pace.perSecond(now, q.backlogSince)
+	rate, _ := q.pace.rates(now, q.backlogSince)
 	if rate <= 0 {
 		return // nothing is known of when room comes
 	}
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -64,7 +64,7 @@
 	if tasks < 2 || q.backlogSince == 0 {
 		return 0
 	}
-	rate := q.pace.startsPerSecond(now, q.backlogSince)
+	_, rate := q.pace.rates(now, q.backlogSince)
 	if rate <= 0 {
 		return 0
 	}
--- a/worker/supervisor.go
+++ b/worker/supervisor.go
@@ -32,12 +32,11 @@
 	callRetry  = 100 * time.Millisecond
 	// offerTime is how long room is held for an entry that wants it.
 	offerTime = 40 * time.Millisecond
-	// stateInterval is the shortest time between two states for one entry, and
-	// stateShare how much of it each connected entry adds beyond that: with many
-	// entries each state costs that many frames, and an entry that needs to know
-	// at once has a want here.
+	// stateInterval is the shortest time between two states for one entry, or
+	// stateShare for each connected entry, where that is more: a change costs a
+	// frame to each of them, and who needs to know at once has a want here.
 	stateInterval = 8 * time.Millisecond
-	stateShare    = 5000 * time.Microsecond
+	stateShare    = 5 * time.Millisecond
 	// staleReport is how long after its last heartbeat a worker counts as
 	// gone, in which case it gets no more work.
 	staleReport = 6 * time.Second
