--- a/node/entry.go
+++ b/node/entry.go
@@ -22,7 +22,7 @@
 
 // serveOn is how long an entry that was told to stop still takes requests: so
 // long others may go on sending them here.
-const serveOn = 2200 * time.Millisecond
+const serveOn = 2600 * time.Millisecond
 
 // graceMargin is how long before the end of the grace everything is closed.
 const graceMargin = 300 * time.Millisecond
@@ -101,6 +101,11 @@
 	return !e.leaving.Load() && e.table.Load() != nil && e.linked.Load() > 0
 }
 
+// Leaving reports whether the entry has been told to stop.
+func (e *Entry) Leaving() bool {
+	return e.leaving.Load()
+}
+
 // Submit has a job done and returns its answer. Where the context ends first
 // the caller is gone, and the job is stopped.
 func (e *Entry) Submit(ctx context.Context, j task.Job) (owner.Answer, error) {
--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -234,6 +234,19 @@
 	return resp.StatusCode, strings.TrimSpace(string(raw))
 }
 
+// Closes reports whether entry k closes its callers' connection after an answer.
+func (s *System) Closes(k int, path string) bool {
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Entries[k].settings.Callers+path, nil)
+	assert.NilError(s.tb, err)
+	req.Host = Host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.Close
+}
+
 // Job returns the body of a job of so many tasks, each of which takes so long.
 func Job(tasks int, took time.Duration) string {
 	return fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":1000,"mem_mb":64,"estimate_ms":%d}]}`,
