--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -18,55 +18,40 @@
 	assert.Assert(t, w.Counts.Completed+w.Counts.Failed >= w.Counts.Jobs-1, "%+v", w.Counts)
 }
 
-// TestHistories plays many histories with troubles: no rule may break.
-func TestHistories(t *testing.T) {
-	const batches, each = 16, 25
-	for b := range batches {
+// playHistories plays so many histories with the seeds from first on, each with
+// the given change of the usual world: no rule may break.
+func playHistories(t *testing.T, first, count uint64, change func(*Config)) {
+	t.Helper()
+	const each = 20
+	for from := first; from < first+count; from += each {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
-			for k := range each {
-				w := New(DefaultConfig(uint64(1000 + b*each + k)))
+			for seed := from; seed < min(from+each, first+count); seed++ {
+				cfg := DefaultConfig(seed)
+				change(&cfg)
+				w := New(cfg)
 				w.Run()
-				assert.Equal(t, w.Broken, "", "seed %d: %+v", 1000+b*each+k, w.Counts)
+				assert.Equal(t, w.Broken, "", "seed %d: %+v", seed, w.Counts)
 			}
 		})
 	}
 }
 
+// TestHistories plays many histories with troubles.
+func TestHistories(t *testing.T) {
+	playHistories(t, 1000, 400, func(*Config) {})
+}
+
 // TestLeasesAloneSuffice plays histories in which silent connections are never
 // given up: only the leases end what a silent entry had running.
 func TestLeasesAloneSuffice(t *testing.T) {
-	const batches, each = 8, 10
-	for b := range batches {
-		t.Run("", func(t *testing.T) {
-			t.Parallel()
-			for k := range each {
-				cfg := DefaultConfig(uint64(5000 + b*each + k))
-				cfg.Silence, cfg.Lasting = time.Hour, true
-				w := New(cfg)
-				w.Run()
-				assert.Equal(t, w.Broken, "", "seed %d: %+v", cfg.Seed, w.Counts)
-			}
-		})
-	}
+	playHistories(t, 5000, 80, func(c *Config) { c.Silence, c.Lasting = time.Hour, true })
 }
 
 // TestRestartsOfAgentsAmongLostAnswers plays the histories in which a missing
 // emptying shows, with all mechanisms in place.
 func TestRestartsOfAgentsAmongLostAnswers(t *testing.T) {
-	const batches, each = 8, 20
-	for b := range batches {
-		t.Run("", func(t *testing.T) {
-			t.Parallel()
-			for k := range each {
-				cfg := DefaultConfig(uint64(b*each + k))
-				cfg.Kinds, cfg.Faults = []Kind{KillAgent, LoseAnswers}, 16
-				w := New(cfg)
-				w.Run()
-				assert.Equal(t, w.Broken, "", "seed %d: %+v", cfg.Seed, w.Counts)
-			}
-		})
-	}
+	playHistories(t, 0, 160, func(c *Config) { c.Kinds, c.Faults = []Kind{KillAgent, LoseAnswers}, 16 })
 }
 
 // TestASeedPlaysTheSame is what makes a found seed worth keeping.
