--- a/testutil/fleet/policy_test.go
+++ b/testutil/fleet/policy_test.go
@@ -45,8 +45,8 @@
 }
 
 // TestWhatJobsEarn plays a workload under load and troubles. The bounds lie a
-// little below what was measured; without a mechanism that the decisions rest on,
-// one of them is missed (docs/design/decisions.md).
+// little below what was measured; docs/measurements/policy-platform.md says which
+// mechanisms are noticed when they are taken out, and which is not.
 func TestWhatJobsEarn(t *testing.T) {
 	const small, large = 11, 40
 	for _, s := range []scene{
