Emulator: scenes over the ranges a deployment may have, a clairvoyant bound, an experiment command

Change: 38 scenes (testutil/fleet/scene.go) with guesses off by 0.1 to 1.2, biased by 0.5 to 2, tasks uneven by 0 to 0.5, other work, priorities, speeds and loads; a scheduler that knows the true work beside them; 'go run ./testutil/fleet/experiment' plays scenes with constants replaced at build time and prints paired differences.

--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -37,6 +37,7 @@
 	lengths []time.Duration
 	worth   float64
 	sentAt  time.Duration
+	earned  float64 // share of the worth
 }
 
 // arrivals has jobs come until the length is over.
--- /dev/null
+++ b/testutil/fleet/experiment/result.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+
+	"github.com/beaconpoint/beaconpoint/testutil/fleet"
+)
+
+// result is how one seed of a scene was played.
+type result struct {
+	Earned  float64 `json:"earned"`  // share of what was owed
+	Worst   float64 `json:"worst"`   // share of the worst class or size
+	Bound   float64 `json:"bound"`   // share that a clairvoyant scheduler earns
+	Refused float64 `json:"refused"` // share of the jobs
+	Held    float64 `json:"held"`    // worth refused late, share of what was owed
+	Moved   float64 `json:"moved"`   // runs stopped to run elsewhere, share of the starts
+	Bounced float64 `json:"bounced"` // orders rejected, share of the starts
+	Ejected float64 `json:"ejected"` // seconds for which sound targets were ejected
+	Broken  string  `json:"broken"`  // how a promise was broken
+}
+
+// resultOf plays a scene with a seed.
+func resultOf(s fleet.Scene, seed uint64) string {
+	w := s.New(seed)
+	w.Run()
+	var total fleet.Credit
+	for _, c := range w.Credits {
+		total = total.Plus(c)
+	}
+	stats := w.Stats()
+	line, err := json.Marshal(result{
+		Earned:  total.Share(),
+		Worst:   w.Worst(),
+		Bound:   w.Clairvoyant(s.Outages),
+		Refused: float64(stats.Refused) / float64(total.Jobs),
+		Held:    total.Held / total.Owed,
+		Moved:   float64(stats.Moved) / float64(stats.Starts),
+		Bounced: float64(stats.Rejected) / float64(stats.Starts),
+		Ejected: w.SoundEjected.Seconds(),
+		Broken:  w.Broken,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return string(line)
+}
+
+// mean returns the mean of a figure over the seeds.
+func mean(results []result, figure func(result) float64) float64 {
+	sum := 0.0
+	for _, r := range results {
+		sum += figure(r)
+	}
+	return sum / float64(len(results))
+}
+
+// difference returns the mean of the paired differences of a figure, and its standard
+// error.
+func difference(base, head []result, figure func(result) float64) (value, standardError float64) {
+	n := float64(len(base))
+	for k := range base {
+		value += (figure(head[k]) - figure(base[k])) / n
+	}
+	squares := 0.0
+	for k := range base {
+		d := figure(head[k]) - figure(base[k]) - value
+		squares += d * d
+	}
+	return value, math.Sqrt(squares / max(1, n-1) / n)
+}
+
+// barWidth is the width of a drawn bar, in characters.
+const barWidth = 20
+
+// bar draws a share between one half and one.
+func bar(share float64) string {
+	filled := min(barWidth, max(0, int(math.Round((share-0.5)*2*barWidth))))
+	line := make([]byte, barWidth)
+	for k := range line {
+		line[k] = '.'
+		if k < filled {
+			line[k] = '#'
+		}
+	}
+	return string(line)
+}
+
+// print prints the variant's table beside the base.
+func (v *variant) print(out io.Writer, base *variant, names []string) {
+	fmt.Fprintf(out, "\n%s\n%-44s %6s %6s %6s %7s %6s %6s %7s %7s", v.name,
+		"scene", "earned", "worst", "bound", "refused", "held", "moved", "bounced", "ejected")
+	if v != base {
+		fmt.Fprintf(out, "  %8s %7s %8s %7s", "+earned", "s.e.", "+worst", "s.e.")
+	}
+	fmt.Fprintln(out)
+	var allBase, allHead []result
+	for _, name := range names {
+		r := v.results[name]
+		if len(r) == 0 || len(r) != len(base.results[name]) {
+			fmt.Fprintf(out, "%-44s not played\n", name)
+			continue
+		}
+		allBase, allHead = append(allBase, base.results[name]...), append(allHead, r...)
+		printRow(out, name, base.results[name], r, v != base)
+	}
+	if len(allHead) > 0 {
+		printRow(out, "all", allBase, allHead, v != base)
+	}
+}
+
+// printRow prints the means of one scene, and the differences from the base.
+func printRow(out io.Writer, name string, base, head []result, compared bool) {
+	fmt.Fprintf(out, "%-44s %6.3f %6.3f %6.3f %7.3f %6.3f %6.3f %7.3f %7.2f", name,
+		mean(head, earned), mean(head, worst), mean(head, func(r result) float64 { return r.Bound }),
+		mean(head, func(r result) float64 { return r.Refused }), mean(head, func(r result) float64 { return r.Held }),
+		mean(head, func(r result) float64 { return r.Moved }), mean(head, func(r result) float64 { return r.Bounced }),
+		mean(head, func(r result) float64 { return r.Ejected }))
+	if compared {
+		e, se := difference(base, head, earned)
+		w, sw := difference(base, head, worst)
+		fmt.Fprintf(out, "  %+8.4f %7.4f %+8.4f %7.4f", e, se, w, sw)
+	} else {
+		fmt.Fprintf(out, "  %s", bar(mean(head, earned)))
+	}
+	fmt.Fprintln(out)
+	for k, r := range head {
+		if r.Broken != "" {
+			fmt.Fprintf(out, "  BROKEN seed %d: %s\n", k+1, r.Broken)
+		}
+	}
+}
+
+func earned(r result) float64 { return r.Earned }
+
+func worst(r result) float64 { return r.Worst }
--- a/testutil/fleet/workload.go
+++ b/testutil/fleet/workload.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/owner"
@@ -27,15 +29,27 @@
 	Worth float64
 }
 
-// What a workload's jobs have in common.
+// Shape is what a workload's jobs have in common. Spreads are standard deviations of
+// natural logarithms.
+type Shape struct {
+	WorkSpread  float64 // of the work of one class's jobs
+	CountSpread float64 // of the number of their tasks
+	GuessError  float64 // of the callers' guesses
+	GuessBias   float64 // how many times the work callers guess
+	TaskSpread  float64 // of one job's tasks
+	Stretch     float64 // the objective over the longest task
+	// Slack is what the objective allows on top.
+	Slack time.Duration
+}
+
+// UsualShape returns the shape of the users' known workloads.
+func UsualShape() Shape {
+	return Shape{WorkSpread: 0.4, CountSpread: 0.4, GuessError: 0.4, GuessBias: 1, TaskSpread: 0.15, Stretch: 1.6, Slack: 60 * time.Millisecond}
+}
+
 const (
-	workSpread  = 0.4  // of the logarithm of the work
-	countSpread = 0.4  // of the logarithm of the number of tasks
-	guessError  = 0.4  // of the logarithm of the callers' guesses
-	taskSpread  = 0.15 // of one job's tasks
-	taskCPU     = 1600
-	stretch     = 1.6
-	latencyAim  = 60 * time.Millisecond
+	// taskCPU is what one task takes, in thousandths of a core.
+	taskCPU = 1600
 	// lateShare is what a job counts that is completed by three times its
 	// objective.
 	lateShare = 0.2
@@ -65,6 +79,7 @@
 	cfg.Faults, cfg.Calm = 0, 0
 	cfg.Length = 12 * time.Second
 	cfg.Classes = classes
+	cfg.Shape = UsualShape()
 	cfg.CPU = 16000
 	cfg.Speeds = []float64{0.8, 1, 1.25}
 	return cfg
@@ -150,19 +165,19 @@
 
 // submitClass hands in a job of class k.
 func (w *World) submitClass(k int) {
-	class := w.cfg.Classes[k]
+	class, shape := w.cfg.Classes[k], w.cfg.Shape
 	w.Counts.Jobs++
 	id := fmt.Sprintf("%016x", w.Counts.Jobs)
-	count := min(class.MostTasks, max(1, int(math.Round(float64(class.Tasks)*w.around(countSpread)))))
-	work := min(class.Longest, time.Duration(float64(class.Work)*w.around(workSpread)))
-	guess := time.Duration(float64(work) * w.around(guessError))
+	count := min(class.MostTasks, max(1, int(math.Round(float64(class.Tasks)*w.around(shape.CountSpread)))))
+	work := min(class.Longest, time.Duration(float64(class.Work)*w.around(shape.WorkSpread)))
+	guess := time.Duration(shape.GuessBias * float64(work) * w.around(shape.GuessError))
 	c := &client{w: w, done: make(map[task.ID]bool), failed: make(map[task.ID]int), class: k, work: work, sentAt: w.now()}
 	for range count {
-		c.lengths = append(c.lengths, time.Duration(float64(work)*w.around(taskSpread)))
+		c.lengths = append(c.lengths, time.Duration(float64(work)*w.around(shape.TaskSpread)))
 	}
 	c.spec = task.Job{
 		ID: id, Queue: class.Name, Service: service, Spec: id, Attempts: class.Attempts,
-		ObjectiveFactor: stretch, ObjectiveSlack: latencyAim, Priority: class.Priority,
+		ObjectiveFactor: shape.Stretch, ObjectiveSlack: shape.Slack, Priority: class.Priority,
 		CallerTimeout: 3*c.objective() + 1500*time.Millisecond,
 		Steps:         []task.Step{{Count: count, Needs: task.Needs{CPU: taskCPU, MemoryMB: 64}, Estimate: guess}},
 	}
@@ -174,9 +189,11 @@
 	c.send()
 }
 
-// objective returns how long the job may take to count in full.
+// objective returns how long the job may take to count in full: its longest task
+// counts, as it does on the users' bench (docs/measurements/build-farm.md).
 func (c *client) objective() time.Duration {
-	return time.Duration(stretch*float64(c.work)) + latencyAim
+	shape := c.w.cfg.Shape
+	return time.Duration(shape.Stretch*float64(slices.Max(c.lengths))) + shape.Slack
 }
 
 // earn records a job that was completed now.
@@ -184,15 +201,70 @@
 	if c.work == 0 {
 		return
 	}
-	credit := &c.w.Credits[c.class]
-	switch age := c.w.now() - c.sentAt; {
+	age := c.w.now() - c.sentAt
+	c.w.Credits[c.class].earn(c, age)
+	c.earned = c.share(age)
+}
+
+// share returns the share of its worth that the job earns at that age.
+func (c *client) share(age time.Duration) float64 {
+	switch {
 	case age <= c.objective():
-		credit.InAim++
-		credit.Earned += c.worth
+		return 1
 	case age <= 3*c.objective():
-		credit.Late++
-		credit.Earned += lateShare * c.worth
+		return lateShare
+	}
+	return 0
+}
+
+// earn adds what a job earns that was completed at that age.
+func (c *Credit) earn(job *client, age time.Duration) {
+	share := job.share(age)
+	c.Earned += share * job.worth
+	switch share {
+	case 1:
+		c.InAim++
+	case lateShare:
+		c.Late++
+	}
+}
+
+// Sizes of the jobs of a class that count by themselves, as on the users' bench: the
+// largest tenth, and the fifth below it.
+const (
+	largestShare = 0.1
+	nextShare    = 0.2
+)
+
+// Worst returns the least share that a class has earned, or the largest tenth of a
+// class, or the fifth below it.
+func (w *World) Worst() float64 {
+	worst := 1.0
+	for k, credit := range w.Credits {
+		var jobs []*client
+		for _, c := range w.jobs {
+			if c.class == k {
+				jobs = append(jobs, c)
+			}
+		}
+		slices.SortFunc(jobs, func(a, b *client) int {
+			return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.spec.ID, b.spec.ID))
+		})
+		largest := int(largestShare * float64(len(jobs)))
+		next := largest + int(nextShare*float64(len(jobs)))
+		worst = min(worst, credit.Share(), earnedShare(jobs[:largest]), earnedShare(jobs[largest:next]))
+	}
+	return worst
+}
+
+// earnedShare returns what the jobs have earned of what they are worth.
+func earnedShare(jobs []*client) float64 {
+	var sum Credit
+	for _, c := range jobs {
+		sum.Owed += c.worth
+		sum.Earned += c.earned * c.worth
 	}
+	return sum.Share()
 }
 
 // heldShare is the share of its objective from which on a job that is refused
--- a/testutil/fleet/world.go
+++ b/testutil/fleet/world.go
@@ -42,9 +42,11 @@
 	// Lasting says that silent connections may stay open for good, so that the
 	// promises about the end of the history can't be asked for.
 	Lasting bool
-	// Classes are a workload that takes the place of the usual jobs; CPU and
-	// Speeds are the targets' room and, by turns, how fast they are.
+	// Classes are a workload that takes the place of the usual jobs, Shape what
+	// its jobs have in common; CPU and Speeds are the targets' room and, by turns,
+	// how fast they are.
 	Classes []Class
+	Shape   Shape
 	CPU     int
 	Speeds  []float64
 	// Rules and Clear are the mechanisms under test.
@@ -102,6 +104,9 @@
 	Credits []Credit
 	Surge   float64
 	Frames  int // sent between entries and agents
+	// SoundEjected is for how long targets were ejected that did nothing wrong, in
+	// all.
+	SoundEjected time.Duration
 	// Sent, where it is set, is given each frame that a process sends.
 	Sent  func(from string, f *peer.Frame)
 	ended owner.Stats // of the entries' earlier incarnations
