Estimates: the whole step is learned from, and the objective counts its longest task

Cause: the first task of a step to end was taken for all of them and alone was learned from: it is the shortest. Speeds are learned against guesses, so that an estimate is on a scale of its own where callers' guesses are off all alike; objectives are times on the clock. Change: the estimator learns from whole steps, also how much tasks of one step differ; the objective is that of the longest task on a target of the middle speed; the first end is corrected for being the first, and corrects the objective.

--- a/estimate/estimator_test.go
+++ b/estimate/estimator_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,43 @@
 	}
 	assert.Assert(t, learned < 0.6*guessed, "squared errors: learned %f, guessed %f", learned, guessed)
 }
+
+// TestTheLongestTaskIsForeseen: of eight tasks that differ, the estimate of one is their
+// middle, that of the longest is above it, and the first to end tells of the others.
+func TestTheLongestTaskIsForeseen(t *testing.T) {
+	const spread, tasks = 0.4, 8
+	e := NewEstimator()
+	r := rand.New(rand.NewPCG(5, 6))
+	var one, longest, fromFirst float64 // mean logarithms of the errors
+	const jobs, warm = 1200, 200
+	for k := range jobs {
+		guess := time.Duration(math.Exp(r.NormFloat64()*0.4) * float64(200*time.Millisecond))
+		var took []time.Duration
+		for range tasks {
+			took = append(took, time.Duration(float64(guess)*math.Exp(spread*r.NormFloat64())))
+		}
+		if k >= warm {
+			likely := e.Likely(guess)
+			one += math.Log(float64(likely) / float64(guess))
+			longest += math.Log(float64(e.Longest(likely, tasks)) / float64(slices.Max(took)))
+			fromFirst += math.Log(float64(e.FromFirst(slices.Min(took), tasks)) / float64(guess))
+		}
+		e.Learn(guess, took...)
+	}
+	for _, sum := range []float64{one, longest, fromFirst} {
+		mean := sum / (jobs - warm)
+		assert.Assert(t, math.Abs(mean) < 0.05, mean)
+	}
+	assert.Assert(t, e.Spread() > 0.35 && e.Spread() < 0.5, e.Spread())
+}
+
+// TestTheSpreadStartsWideAndFollows: nothing known, estimates count as off by 50%.
+func TestTheSpreadStartsWideAndFollows(t *testing.T) {
+	e := NewEstimator()
+	assert.Equal(t, e.Spread(), 0.5)
+	for range 100 {
+		e.Learn(100*time.Millisecond, 100*time.Millisecond)
+	}
+	assert.Assert(t, e.Spread() < 0.2, e.Spread())
+	assert.Equal(t, e.Longest(100*time.Millisecond, 1), 100*time.Millisecond)
+}
--- a/owner/job.go
+++ b/owner/job.go
@@ -44,9 +44,9 @@
 	tasks   []taskState
 	waiting int // tasks in the phase waiting
 	undone  int // tasks that are not done
-	// measured says that a task has ended with success: the step's estimate is
-	// what it took.
-	measured bool
+	// took holds how long the tasks took that have ended with success, on a target
+	// of speed 1.
+	took []time.Duration
 }
 
 // job is a job of this entry. Times are on the entry's clock.
@@ -81,15 +81,14 @@
 // newJob returns a job that has just arrived.
 func newJob(now time.Duration, spec task.Job) *job {
 	j := &job{
-		spec:            spec,
-		arrived:         now,
-		objectiveAt:     now + spec.Objective(),
-		lateObjectiveAt: now + spec.LateObjective(),
-		steps:           make([]stepState, len(spec.Steps)),
-		undone:          spec.Tasks(),
-		callers:         make(map[uint64]func(Answer)),
-		index:           -1,
+		spec:    spec,
+		arrived: now,
+		steps:   make([]stepState, len(spec.Steps)),
+		undone:  spec.Tasks(),
+		callers: make(map[uint64]func(Answer)),
+		index:   -1,
 	}
+	j.setObjectives()
 	if spec.CallerTimeout > 0 {
 		j.callerDeadline = now + spec.CallerTimeout
 	}
@@ -99,6 +98,12 @@
 	return j
 }
 
+// setObjectives sets the objectives by the present estimates.
+func (j *job) setObjectives() {
+	j.objectiveAt = j.arrived + j.spec.Objective()
+	j.lateObjectiveAt = j.arrived + j.spec.LateObjective()
+}
+
 // started reports whether a task of j may have been started on a target.
 func (j *job) started() bool {
 	return j.orders > 0
@@ -176,7 +181,7 @@
 }
 
 // remaining returns the estimate of the longest chain of steps that are not done,
-// on a target of speed 1.
+// on a target of the usual speed.
 func (j *job) remaining() time.Duration {
 	return j.spec.ChainOf(func(step int) bool { return j.steps[step].undone > 0 })
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,6 +17,7 @@
 //	placement.go   on which target a task runs
 //	refusal.go     when a job is refused or given up
 //	retry.go       when a run is stopped, and when and where its task runs again
+//	estimates.go   how long the tasks of a job are likely to take
 //
 // Invariants: a task has at most one run that may still be at work (phases placed
 // and uncertain); a job is refused only while no order of it has reached a target;
@@ -162,9 +163,10 @@
 
 // accept makes spec a job of this entry and queues it.
 func (o *Owner) accept(now time.Duration, spec task.Job) *job {
-	j := newJob(now, o.withEstimates(spec))
+	q := o.queue(spec.Service)
+	j := newJob(now, o.withEstimates(spec, q.usualSpeed))
 	j.relativeSize = o.relativeSize(j.spec)
-	j.queue = o.queue(spec.Service)
+	j.queue = q
 	o.jobs[spec.ID] = j
 	o.stats.Submitted++
 	o.logAccepted(j, spec.Chain())
@@ -175,43 +177,6 @@
 	return j
 }
 
-// withEstimates returns the job with its callers' guesses replaced by what its
-// tasks are likely to take.
-func (o *Owner) withEstimates(spec task.Job) task.Job {
-	e := o.estimator(spec.Queue)
-	steps := slices.Clone(spec.Steps)
-	for k := range steps {
-		steps[k].Guess = steps[k].Estimate
-		steps[k].Estimate = e.Likely(steps[k].Guess)
-	}
-	spec.Steps = steps
-	return spec
-}
-
-// estimator returns the estimator of a queue of the configuration.
-func (o *Owner) estimator(queue string) *estimate.Estimator {
-	e := o.estimators[queue]
-	if e == nil {
-		e = estimate.NewEstimator()
-		o.estimators[queue] = e
-	}
-	return e
-}
-
-// learn records how long a task took on a's target: for the estimates of its
-// queue, and for the other tasks of its step, which are much alike. Only the first
-// task of a step counts.
-func (o *Owner) learn(j *job, step int, a *agent, took time.Duration) {
-	s := &j.steps[step]
-	if s.measured {
-		return
-	}
-	s.measured = true
-	work := time.Duration(float64(took) * a.speed())
-	o.estimator(j.spec.Queue).Learn(j.spec.Steps[step].Guess, work)
-	j.spec.Steps[step].Estimate = work
-}
-
 // Cancel ends one caller's interest in a job. A job that nobody waits for any more
 // is stopped without an answer.
 func (o *Owner) Cancel(now time.Duration, id string, caller uint64) {
@@ -330,6 +295,7 @@
 	}
 	services := slices.Sorted(maps.Keys(o.queues))
 	for _, s := range services {
+		o.queues[s].usualSpeed = o.usualSpeed(s)
 		o.refuseHopeless(now, o.queues[s])
 	}
 	for _, s := range services {
@@ -346,7 +312,7 @@
 func (o *Owner) queue(service string) *queue {
 	q := o.queues[service]
 	if q == nil {
-		q = &queue{service: service}
+		q = &queue{service: service, usualSpeed: o.usualSpeed(service)}
 		o.queues[service] = q
 	}
 	return q
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -13,6 +13,8 @@
 	service   string
 	waiting   jobHeap
 	startRate startRate
+	// usualSpeed is that of the service's targets, as of the last tick.
+	usualSpeed float64
 	// backlogSince is since when jobs have been waiting, zero while none is.
 	backlogSince time.Duration
 }
--- a/task/job.go
+++ b/task/job.go
@@ -50,6 +50,9 @@
 	// 1; Estimate is what the entry makes of it.
 	Estimate time.Duration
 	Guess    time.Duration
+	// Longest is how long the longest of the tasks is likely to take on a target of
+	// the usual speed; zero: as Estimate.
+	Longest time.Duration
 	// DependsOn holds the numbers of the earlier steps that must be done first.
 	DependsOn []int
 	// Label is what the target must be labelled with; empty means nothing.
@@ -60,6 +63,14 @@
 	MaxPerTarget int
 }
 
+// longest returns how long the longest task is likely to take on a usual target.
+func (s Step) longest() time.Duration {
+	if s.Longest > 0 {
+		return s.Longest
+	}
+	return s.Estimate
+}
+
 // Job is one submission, as its queue's configuration completes it.
 type Job struct {
 	// ID is chosen by the caller.
@@ -86,8 +97,8 @@
 	CallerTimeout time.Duration
 }
 
-// Chain returns the estimate of the job's longest chain of steps, on a target of
-// speed 1.
+// Chain returns the estimate of the job's longest chain of tasks, on a target of the
+// usual speed.
 func (j Job) Chain() time.Duration {
 	return j.ChainOf(func(int) bool { return true })
 }
@@ -104,7 +115,7 @@
 		for _, earlier := range s.DependsOn {
 			begin = max(begin, ends[earlier])
 		}
-		ends[k] = begin + s.Estimate
+		ends[k] = begin + s.longest()
 		longest = max(longest, ends[k])
 	}
 	return longest
