Health and moved runs go by how far runs are off their estimates

Cause: 2.2, 2.5 and 3.5 times the estimate stood for one spread of errors. Change: an agent learns how long its target's runs usually take over their estimates (baseline); a target is slow when the last jobs' mean is 2.5 times that and 5 of its own standard deviations off, overdue runs eject it when they are a third of those at work. An entry stops a run 5 standard deviations past its estimate. The baseline learns from ends that 24 later ones have confirmed, so that a target that turns slow is not what is usual.

--- a/estimate/estimator.go
+++ b/estimate/estimator.go
@@ -117,13 +117,13 @@
 // Longest returns how long the longest of so many tasks of a step is likely to take,
 // given the estimate for one.
 func (e *Estimator) Longest(one time.Duration, tasks int) time.Duration {
-	return scale(one, e.taskSpread()*normalScore(tasks, tasks))
+	return scale(one, e.TaskSpread()*normalScore(tasks, tasks))
 }
 
 // FromFirst returns the estimate for a task of a step of which one task has ended, the
 // first of so many that were started.
 func (e *Estimator) FromFirst(took time.Duration, tasks int) time.Duration {
-	return scale(took, -e.taskSpread()*normalScore(1, tasks))
+	return scale(took, -e.TaskSpread()*normalScore(1, tasks))
 }
 
 // Spread returns the standard deviation of the logarithm of the time that a task takes
@@ -132,8 +132,8 @@
 	return math.Sqrt(max(e.errorVariance, minVariance))
 }
 
-// taskSpread returns the standard deviation of the logarithms of the tasks of a step.
-func (e *Estimator) taskSpread() float64 {
+// TaskSpread returns the standard deviation of the logarithms of the tasks of a step.
+func (e *Estimator) TaskSpread() float64 {
 	return math.Sqrt(max(e.taskVariance, minVariance))
 }
 
--- a/owner/estimates.go
+++ b/owner/estimates.go
@@ -26,6 +26,14 @@
 	return spec
 }
 
+// setSpreads sets how far the tasks of a new job are likely to be off their estimates.
+func (o *Owner) setSpreads(j *job) {
+	spread := o.estimator(j.spec.Queue).Spread()
+	for k := range j.steps {
+		j.steps[k].spread = spread
+	}
+}
+
 // setEstimate sets what one task of a step is likely to take, and the longest of them.
 func setEstimate(s *task.Step, e *estimate.Estimator, one time.Duration, usualSpeed float64) {
 	s.Estimate = one
@@ -52,6 +60,7 @@
 	if len(s.took) == 1 {
 		setEstimate(&j.spec.Steps[step], e, e.FromFirst(s.took[0], len(s.tasks)-s.waiting), j.queue.usualSpeed)
 		j.setObjectives()
+		s.spread = e.TaskSpread()
 	}
 	if len(s.took) == len(s.tasks) {
 		e.Learn(j.spec.Steps[step].Guess, s.took...)
--- a/owner/job.go
+++ b/owner/job.go
@@ -47,6 +47,9 @@
 	// took holds how long the tasks took that have ended with success, on a target
 	// of speed 1.
 	took []time.Duration
+	// spread is the standard deviation of the logarithm of the time that a task takes
+	// over the step's estimate.
+	spread float64
 }
 
 // job is a job of this entry. Times are on the entry's clock.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -166,6 +166,7 @@
 	q := o.queue(spec.Service)
 	j := newJob(now, o.withEstimates(spec, q.usualSpeed))
 	j.relativeSize = o.relativeSize(j.spec)
+	o.setSpreads(j)
 	j.queue = q
 	o.jobs[spec.ID] = j
 	o.stats.Submitted++
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,11 +14,12 @@
 // Moving and retrying runs. A run that takes far too long is stopped; its task is
 // started elsewhere once the agent reports the end, never before.
 const (
-	// overdueFactor and overdueSlack: a run is stopped after overdueFactor times
-	// its likely time and overdueSlack more. Guesses err by some 40%, so that few
-	// sound runs take that long. Not measured.
-	overdueFactor = 3.5
-	overdueSlack  = 100 * time.Millisecond
+	// A run is stopped when it takes so much longer than likely that few sound ones
+	// do: overdueDeviations standard deviations of what runs are off their estimates,
+	// but overdueFactor times as long at the least, and overdueSlack more.
+	overdueDeviations = 5.0
+	overdueFactor     = 2.5
+	overdueSlack      = 100 * time.Millisecond
 	// failureBackoff is how long a task is kept away from an agent at which it
 	// failed or was overdue, rejectionBackoff from one that did not start it. Not
 	// measured.
@@ -29,10 +31,12 @@
 )
 
 // runOverdue reports whether a run of the given age should be stopped. estimate is
-// for a target of speed 1.
-func runOverdue(age, estimate time.Duration, speed float64) bool {
+// for a target of speed 1, spread the standard deviation of the logarithm of the time
+// that runs take over their estimates.
+func runOverdue(age, estimate time.Duration, speed, spread float64) bool {
 	likely := float64(estimate) / speed
-	return age > time.Duration(overdueFactor*likely)+overdueSlack
+	factor := max(overdueFactor, math.Exp(overdueDeviations*spread))
+	return age > time.Duration(factor*likely)+overdueSlack
 }
 
 // attemptsUsedUp reports whether a task has failed too often for another run.
@@ -55,7 +59,7 @@
 	if t.phase != placed || t.stopSent || a == nil || !a.connected {
 		return
 	}
-	if runOverdue(now-t.sentAt, j.spec.Steps[step].Estimate, a.speed()) {
+	if runOverdue(now-t.sentAt, j.spec.Steps[step].Estimate, a.speed(), j.steps[step].spread) {
 		o.stopRun(now, a, task.ID{Job: j.spec.ID, Step: step, Index: index}, t, code.RunMovedOverdue)
 	}
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,9 +1,10 @@
 // Package peer carries what entries and agents tell each other: frames of msgpack
 // over TCP, each with the stamps on which leases rest.
 //
-// Structs are encoded as arrays: the order of their fields is the format. A new field
-// goes to the end of its struct; none is moved or removed. testdata/frames.golden
-// holds the bytes.
+// Structs are encoded as arrays: the order of their fields is the format, and so is
+// their number. The decoder refuses an array of another length, so that no struct can get
+// a field while processes of the version before are up (docs/open.md).
+// testdata/frames.golden holds the bytes.
 package peer
 
 import (
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"github.com/beaconpoint/beaconpoint/code"
@@ -125,3 +126,15 @@
 	assert.Equal(t, c.Send(&Frame{Document: make([]byte, maxFrame+1)}), uint64(0))
 	assert.ErrorIs(t, c.Cause(nil), ErrFrameSize)
 }
+
+// TestFramesCannotGrow holds what the package's comment says of the format: one more
+// element is refused, and so is one less.
+func TestFramesCannotGrow(t *testing.T) {
+	for _, body := range [][]byte{{0x92, 1, 2}, {0x94, 1, 2, 3, 4}} {
+		var needs task.Needs
+		assert.ErrorContains(t, msgpack.Unmarshal(body, &needs), "number of fields")
+	}
+	var needs task.Needs
+	assert.NilError(t, msgpack.Unmarshal([]byte{0x93, 1, 2, 3}, &needs))
+	assert.Equal(t, needs, task.Needs{CPU: 1, MemoryMB: 2, GPU: 3})
+}
--- a/supervisor/health.go
+++ b/supervisor/health.go
@@ -9,26 +9,42 @@
 )
 
 // Outlier detection. A target is ejected when the runs of several different jobs
-// fail, are slow or are overdue there: guesses are off by some 40%, so that a
-// single job says little. An ejected target gets single probes; after each that
-// ends well it gets twice as many at once, and after probesToRecover it is back.
+// fail, are slow or are overdue there. What is slow goes by how far the target's runs
+// have been off their estimates so far (baseline): a single job says little where they
+// are off by much. An ejected target gets single probes; after each that ends well it
+// gets twice as many at once, and after probesToRecover it is back.
 const (
-	// keptEnds is how many of the last ends are looked at. Not measured.
-	keptEnds = 12
+	// keptEnds is how many of the last ends are looked at.
+	keptEnds = 24
 	// ejectFailedJobs is how many different jobs must have failed among the last
 	// failureWindow ends for the target to be ejected. Not measured.
 	ejectFailedJobs = 4
 	failureWindow   = 6
-	// ejectSlowFactor is how many times their estimate the runs of the last
-	// slowWindowJobs different jobs must take on average. Not measured.
+	// The target is slow when the runs of the last slowMinJobs different jobs, or of
+	// more, took ejectSlowFactor times as long as usual on average, and so much longer
+	// that the mean is slowDeviations of its own standard deviations off.
 	ejectSlowFactor = 2.5
-	slowWindowJobs  = 4
-	// A run at work is overdue after ejectOverdueFactor times its likely time and
-	// ejectOverdueSlack more; that many different jobs' overdue runs eject the target.
-	// Not measured.
-	ejectOverdueFactor = 2.2
+	slowDeviations  = 5.0
+	slowMinJobs     = 4
+	// A run at work is overdue after its likely time, times what overdueDeviations
+	// standard deviations make and ejectOverdueFactor at the least, and
+	// ejectOverdueSlack more. The overdue runs of ejectOverdueJobs different jobs, and
+	// of ejectOverdueShare of all jobs at work there, eject the target.
+	overdueDeviations  = 2.0
+	ejectOverdueFactor = 2.0
 	ejectOverdueSlack  = 30 * time.Millisecond
 	ejectOverdueJobs   = 3
+	ejectOverdueShare  = 1.0 / 3
+	// probeDeviations is by how many standard deviations a probe may be slow, and
+	// ejectSlowFactor times in any case.
+	probeDeviations = 2.0
+	// What is assumed of a target's runs before any has ended: that they take as long
+	// as estimated, and differ from that by 50%. It counts like priorRuns runs.
+	priorSpread = 0.5
+	priorRuns   = 8
+	// baselineRuns is how many runs the baseline looks back over: many more than make
+	// a target slow.
+	baselineRuns = 200
 	// probeInterval is the time between the first probes. Not measured.
 	probeInterval = 300 * time.Millisecond
 	// probesToRecover is how many probes in a row must end well. Not measured.
@@ -55,18 +71,24 @@
 	// logRatio is the moving average of the logarithm of the time that runs took
 	// over the caller's guess.
 	logRatio float64
+	baseline baseline
 }
 
 // endRecord is the end of one run.
 type endRecord struct {
 	job    string
 	failed bool
-	ratio  float64 // time taken over estimate
+	// ratio is the logarithm of the time that it took at the least over the estimate.
+	ratio float64
+	// usual is the same with the time until its end was listed, if usualKnown: that
+	// time is known well enough.
+	usual      float64
+	usualKnown bool
 }
 
 // newHealth returns the health of a target of which nothing is known.
 func newHealth() health {
-	return health{lastProbeAt: -time.Hour}
+	return health{lastProbeAt: -time.Hour, baseline: baseline{variance: priorSpread * priorSpread}}
 }
 
 // speed returns the learned speed, 1 being as guessed.
@@ -102,11 +124,12 @@
 // work and at most until its end was listed. It reports whether the target was
 // ejected or has recovered.
 func (h *health) recordEnd(r *run, end task.End, least, most time.Duration) bool {
-	estimate := max(r.order.Estimate, minRunTime)
 	e := endRecord{
-		job:    r.order.Task.Job,
-		failed: end == task.EndFailed,
-		ratio:  float64(max(least, minRunTime)) / float64(estimate),
+		job:        r.order.Task.Job,
+		failed:     end == task.EndFailed,
+		ratio:      logRatio(max(least, minRunTime), r.order.Estimate),
+		usual:      logRatio(max(most, minRunTime), r.order.Estimate),
+		usualKnown: end == task.EndDone && most-least < most/maxUncertaintyShare,
 	}
 	if e.failed && r.order.FailedElsewhere {
 		return false // it says nothing of this target
@@ -115,7 +138,7 @@
 	if h.ejected {
 		return r.probe && h.recordProbe(e)
 	}
-	if !e.failed && most-least < most/maxUncertaintyShare {
+	if e.usualKnown {
 		h.learnSpeed(r.order.Guess, most)
 	}
 	return h.evaluate()
@@ -126,21 +149,25 @@
 // Measured and reverted: learned against estimates, the trackers' trouble-1 fell
 // from 0.644 to 0.373.
 func (h *health) learnSpeed(guess, took time.Duration) {
-	guess = max(guess, minRunTime)
-	h.logRatio += speedWeight * (math.Log(float64(took)/float64(guess)) - h.logRatio)
+	h.logRatio += speedWeight * (logRatio(took, guess) - h.logRatio)
 }
 
-// add keeps one more end.
+// add keeps one more end. The baseline learns from those that go: they have not
+// ejected the target.
 func (h *health) add(e endRecord) {
 	h.ends = append(h.ends, e)
-	if len(h.ends) > keptEnds {
-		h.ends = h.ends[1:]
+	if len(h.ends) <= keptEnds {
+		return
 	}
+	if oldest := h.ends[0]; oldest.usualKnown && !h.ejected {
+		h.baseline.add(oldest.usual)
+	}
+	h.ends = h.ends[1:]
 }
 
 // recordProbe counts a probe. It reports whether the target has recovered.
 func (h *health) recordProbe(e endRecord) bool {
-	if e.failed || e.ratio > ejectSlowFactor {
+	if e.failed || e.ratio-h.baseline.mean > max(math.Log(ejectSlowFactor), probeDeviations*h.baseline.spread()) {
 		h.goodProbes = 0
 		return false
 	}
@@ -170,31 +197,40 @@
 	if len(failed) >= ejectFailedJobs {
 		return h.eject(code.TargetFails)
 	}
-	if h.meanRatio() > ejectSlowFactor {
+	if h.slow() {
 		return h.eject(code.TargetSlow)
 	}
 	return false
 }
 
-// meanRatio returns the geometric mean of the last slowWindowJobs jobs' ratios,
-// each by its latest end; zero where there are fewer or one of them failed.
-func (h *health) meanRatio() float64 {
+// slow reports whether the runs of the last jobs, each by its latest end, took so much
+// longer than usual that chance does not explain it. Where one of them failed it says
+// nothing.
+func (h *health) slow() bool {
 	seen := make(map[string]bool)
 	sum := 0.0
-	for k := len(h.ends) - 1; k >= 0 && len(seen) < slowWindowJobs; k-- {
+	for k := len(h.ends) - 1; k >= 0; k-- {
 		e := h.ends[k]
 		if e.failed {
-			return 0
+			return false
 		}
-		if !seen[e.job] {
-			seen[e.job] = true
-			sum += math.Log(e.ratio)
+		if seen[e.job] {
+			continue
+		}
+		seen[e.job] = true
+		sum += e.ratio - h.baseline.mean
+		jobs := float64(len(seen))
+		deviation := h.baseline.spread() * math.Sqrt(jobs)
+		if jobs >= slowMinJobs && sum > jobs*math.Log(ejectSlowFactor) && sum > slowDeviations*deviation {
+			return true
 		}
 	}
-	if len(seen) < slowWindowJobs {
-		return 0
-	}
-	return math.Exp(sum / slowWindowJobs)
+	return false
+}
+
+// logRatio returns the logarithm of the time that a run took over an estimate.
+func logRatio(took, estimate time.Duration) float64 {
+	return math.Log(float64(took) / float64(max(estimate, minRunTime)))
 }
 
 // checkOverdue ejects the target if the runs of several jobs were overdue when its
@@ -204,19 +240,26 @@
 	if h.ejected {
 		return false
 	}
-	overdue := make(map[string]bool)
+	overdue, atWork := make(map[string]bool), make(map[string]bool)
 	for _, r := range running {
-		likely := float64(r.order.Estimate) * math.Exp(h.logRatio)
-		if listedAt-r.began > time.Duration(ejectOverdueFactor*likely)+ejectOverdueSlack {
+		atWork[r.order.Task.Job] = true
+		if listedAt-r.began > h.overdueAfter(r.order) {
 			overdue[r.order.Task.Job] = true
 		}
 	}
-	if len(overdue) >= ejectOverdueJobs {
+	if len(overdue) >= ejectOverdueJobs && float64(len(overdue)) >= ejectOverdueShare*float64(len(atWork)) {
 		return h.eject(code.TargetOverdue)
 	}
 	return false
 }
 
+// overdueAfter returns how long after its start a run is overdue.
+func (h *health) overdueAfter(o task.Order) time.Duration {
+	likely := float64(o.Estimate) * math.Exp(h.logRatio)
+	factor := max(ejectOverdueFactor, math.Exp(overdueDeviations*h.baseline.spread()))
+	return time.Duration(factor*likely) + ejectOverdueSlack
+}
+
 // eject ejects the target and returns true.
 func (h *health) eject(why code.Code) bool {
 	h.ends = nil
--- a/testutil/fleet/policy_test.go
+++ b/testutil/fleet/policy_test.go
@@ -34,6 +34,12 @@
 		{"a target hangs", 8, 0.96, 0.94, 0.18},
 		{"a target is slow", 8, 0.96, 0.945, 0.18},
 		{"a target fails all", 8, 0.96, 0.935, 0.18},
+		{"uneven tasks", 4, 0.985, 0.97, 0.18},
+		{"very uneven tasks", 4, 0.96, 0.94, 0.18},
+		{"wild guesses", 4, 0.985, 0.97, 0.18},
+		{"wild guesses, a target hangs", 4, 0.965, 0.94, 0.18},
+		{"wilder guesses, uneven tasks", 4, 0.96, 0.93, 0.18},
+		{"guesses of half the work", 4, 0.985, 0.97, 0.18},
 	} {
 		t.Run(b.scene, func(t *testing.T) {
 			t.Parallel()
