--- a/owner/job.go
+++ b/owner/job.go
@@ -34,6 +34,7 @@
 	// the task's own fault and not its target's.
 	failures, taskFailures int
 	tries                  int // runs that may have begun, for logs
+	moves                  int // runs that were stopped because they were overdue
 	// avoid is an agent at which the task must not run until avoidUntil.
 	avoid      string
 	avoidUntil time.Duration
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -16,7 +16,9 @@
 const (
 	// A run is stopped when it takes so much longer than likely that few sound ones
 	// do: overdueDeviations standard deviations of what runs are off their estimates,
-	// but overdueFactor times as long at the least, and overdueSlack more.
+	// but overdueFactor times as long at the least, and overdueSlack more. Each time that
+	// a task was overdue elsewhere already doubles it: then it is the task that takes
+	// long, and not the target.
 	overdueDeviations = 5.0
 	overdueFactor     = 2.5
 	overdueSlack      = 100 * time.Millisecond
@@ -32,10 +34,10 @@
 
 // runOverdue reports whether a run of the given age should be stopped. estimate is
 // for a target of speed 1, spread the standard deviation of the logarithm of the time
-// that runs take over their estimates.
-func runOverdue(age, estimate time.Duration, speed, spread float64) bool {
+// that runs take over their estimates, moves how often the task was overdue before.
+func runOverdue(age, estimate time.Duration, speed, spread float64, moves int) bool {
 	likely := float64(estimate) / speed
-	factor := max(overdueFactor, math.Exp(overdueDeviations*spread))
+	factor := math.Ldexp(max(overdueFactor, math.Exp(overdueDeviations*spread)), moves)
 	return age > time.Duration(factor*likely)+overdueSlack
 }
 
@@ -59,7 +61,8 @@
 	if t.phase != placed || t.stopSent || a == nil || !a.connected {
 		return
 	}
-	if runOverdue(now-t.sentAt, j.spec.Steps[step].Estimate, a.speed(), j.steps[step].spread) {
+	if runOverdue(now-t.sentAt, j.spec.Steps[step].Estimate, a.speed(), j.steps[step].spread, t.moves) {
+		t.moves++
 		o.stopRun(now, a, task.ID{Job: j.spec.ID, Step: step, Index: index}, t, code.RunMovedOverdue)
 	}
 }
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -124,11 +124,14 @@
 }
 
 func TestRetry(t *testing.T) {
-	assert.Assert(t, !runOverdue(350*ms, 100*ms, 1, 0.15))
-	assert.Assert(t, runOverdue(351*ms, 100*ms, 1, 0.15))
-	assert.Assert(t, !runOverdue(600*ms, 100*ms, 0.5, 0.15), "a slow target is given more time")
-	assert.Assert(t, !runOverdue(838*ms, 100*ms, 1, 0.4), "estimates that err more give more time")
-	assert.Assert(t, runOverdue(840*ms, 100*ms, 1, 0.4))
+	assert.Assert(t, !runOverdue(350*ms, 100*ms, 1, 0.15, 0))
+	assert.Assert(t, runOverdue(351*ms, 100*ms, 1, 0.15, 0))
+	assert.Assert(t, !runOverdue(600*ms, 100*ms, 0.5, 0.15, 0), "a slow target is given more time")
+	assert.Assert(t, !runOverdue(838*ms, 100*ms, 1, 0.4, 0), "estimates that err more give more time")
+	assert.Assert(t, runOverdue(840*ms, 100*ms, 1, 0.4, 0))
+
+	assert.Assert(t, !runOverdue(600*ms, 100*ms, 1, 0.15, 1), "a task that was overdue elsewhere takes long itself")
+	assert.Assert(t, runOverdue(601*ms, 100*ms, 1, 0.15, 1))
 
 	assert.Assert(t, !attemptsUsedUp(1, 1, 2))
 	assert.Assert(t, attemptsUsedUp(2, 2, 2))
