Large jobs no longer go behind small ones

Cause: a job counted as later by 15 ms for each time its queue's usual work, so that more small jobs were served where not all can be. The largest of each kind paid for it. Change: sizeDelay, maxRelativeSize, averageWeight and the averages of work go.

--- a/owner/job.go
+++ b/owner/job.go
@@ -79,7 +79,6 @@
 	// rank orders the queue, the least first; startSpan goes into it. Both are as
 	// of the last call of updateRank.
 	rank, startSpan time.Duration
-	relativeSize    float64 // its work over its queue's usual work, less one
 }
 
 // newJob returns a job that has just arrived.
--- a/owner/order.go
+++ b/owner/order.go
@@ -3,12 +3,10 @@
 import (
 	"math"
 	"time"
-
-	"github.com/beaconpoint/beaconpoint/task"
 )
 
 // The order of waiting jobs: the job whose latest start comes first is served
-// first, shifted by size, priority and whether it has started; jobs that can't
+// first, shifted by priority and whether it has started; jobs that can't
 // meet their objective any more go after all that can.
 const (
 	// marginDeviations is by how many standard deviations of what runs are off their
@@ -23,11 +21,6 @@
 	// would starve the last priority whenever there is too much work of the one
 	// before: its jobs' turn would come when it is too late. Not measured.
 	priorityDelay = 2 * time.Millisecond
-	// sizeDelay is how much later a job counts for each time that its work is its
-	// queue's usual work again: where not all jobs can be served, more small ones
-	// are. maxRelativeSize bounds how often. Not measured.
-	sizeDelay       = 15 * time.Millisecond
-	maxRelativeSize = 4
 	// startedAdvance is how much earlier a job counts that has started: what it
 	// has done is lost if the rest does not come in time. Measured in a burst
 	// against 100 and 300 ms: 0.875 to 0.875 and 0.869.
@@ -51,10 +44,8 @@
 	// startSpan is the time from the first to the last start of its waiting tasks
 	// at the rate at which targets take work from this entry.
 	startSpan time.Duration
-	// relativeSize is its work over its queue's usual work, less one.
-	relativeSize float64
-	priority     int // 0 is the most urgent
-	started      bool
+	priority  int // 0 is the most urgent
+	started   bool
 }
 
 // latestStart returns the latest time at which the rest of the job should start to
@@ -67,7 +58,7 @@
 // rank returns the job's place: the least is served first. Within a band it is the
 // latest start, shifted.
 func (u urgency) rank() time.Duration {
-	shift := time.Duration(u.relativeSize * float64(sizeDelay))
+	var shift time.Duration
 	if u.priority > 0 {
 		shift += lowerPriorityDelay + time.Duration(u.priority)*priorityDelay
 	}
@@ -90,7 +81,6 @@
 		remaining:       j.remaining(),
 		spread:          j.spread(),
 		startSpan:       j.startSpan,
-		relativeSize:    j.relativeSize,
 		priority:        j.spec.Priority,
 		started:         j.started(),
 	}
@@ -107,18 +97,3 @@
 func (j *job) missesObjective() bool {
 	return j.rank >= lateBand
 }
-
-// relativeSize returns a job's work over the usual work of its queue, less one and
-// bounded, and takes the job into the average.
-func (o *Owner) relativeSize(spec task.Job) float64 {
-	m := o.usualWork[spec.Queue]
-	if m == nil {
-		m = &movingAverage{}
-		o.usualWork[spec.Queue] = m
-	}
-	m.add(spec.Work())
-	if m.value <= 0 {
-		return 0
-	}
-	return min(spec.Work()/m.value, maxRelativeSize) - 1
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,7 +74,6 @@
 	byName []*agent          // the same, sorted
 
 	estimators map[string]*estimate.Estimator // by queue of the configuration
-	usualWork  map[string]*movingAverage      // work of a job in core-seconds, by queue of the configuration
 
 	// uncertainUntil holds, by id, jobs that were dropped while a run of them was
 	// on a lost agent: until then such a run may still be at work, and the job
@@ -106,7 +105,6 @@
 		queues:         make(map[string]*queue),
 		agents:         make(map[string]*agent),
 		estimators:     make(map[string]*estimate.Estimator),
-		usualWork:      make(map[string]*movingAverage),
 		uncertainUntil: make(map[string]time.Duration),
 	}
 }
@@ -165,7 +163,6 @@
 func (o *Owner) accept(now time.Duration, spec task.Job) *job {
 	q := o.queue(spec.Service)
 	j := newJob(now, o.withEstimates(spec, q.usualSpeed))
-	j.relativeSize = o.relativeSize(j.spec)
 	o.setSpreads(j)
 	j.queue = q
 	o.jobs[spec.ID] = j
--- a/owner/rate.go
+++ b/owner/rate.go
@@ -6,9 +6,6 @@
 	"github.com/beaconpoint/beaconpoint/peer"
 )
 
-// averageWeight is the weight of one job in its queue's usual work. Not measured.
-const averageWeight = 0.02
-
 // workRate returns how much work the targets of a service take from this entry while jobs
 // wait, in core-seconds a second: their whole capacity at their speeds, times this entry's
 // share of the room in use, its first waiting job taken to be at work. Ejected targets
@@ -35,16 +32,3 @@
 
 // milliCores is how many thousandths a core has.
 const milliCores = 1000
-
-// movingAverage is an exponentially weighted average. Its first values count
-// evenly.
-type movingAverage struct {
-	value float64
-	count int
-}
-
-// add takes x into the average.
-func (m *movingAverage) add(x float64) {
-	m.count++
-	m.value += (x - m.value) * max(averageWeight, 1/float64(m.count))
-}
