--- a/code/error.go
+++ b/code/error.go
@@ -13,7 +13,8 @@
 
 // Errorf returns an error that carries c and the formatted text.
 func Errorf(c Code, format string, args ...any) error {
-	return merry.Errorf(format, append(args, merry.WithValue(codeKey{}, c), merry.WithHTTPCode(c.Status()), merry.NoCaptureStack())...)
+	args = append(args, merry.WithValue(codeKey{}, c), merry.WithHTTPCode(c.Status()), merry.NoCaptureStack())
+	return merry.Errorf(format, args...)
 }
 
 // Of returns the code that err carries, or fallback where it carries none.
--- a/event/log.go
+++ b/event/log.go
@@ -55,7 +55,8 @@
 
 // Logger returns a logger of JSON lines from the given level on.
 func (l *Log) Logger(level slog.Leveler) *slog.Logger {
-	return slog.New(&handler{log: l, inner: slog.NewJSONHandler((*backlogWriter)(l), &slog.HandlerOptions{Level: level})})
+	options := &slog.HandlerOptions{Level: level}
+	return slog.New(&handler{log: l, inner: slog.NewJSONHandler((*backlogWriter)(l), options)})
 }
 
 // Dropped returns how many lines were not taken, or lost, since the start.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -198,7 +198,8 @@
 		return text + "."
 	}
 	if cancelled := last(event.JobCancelled); cancelled != nil {
-		text := fmt.Sprintf("%s was cancelled after %.0f ms: its caller had gone", id, cancelled.fields.number("age_ms"))
+		age := cancelled.fields.number("age_ms")
+		text := fmt.Sprintf("%s was cancelled after %.0f ms: its caller had gone", id, age)
 		if because := because(own, others); because != "" {
 			text += "; " + because
 		}
--- a/owner/answer.go
+++ b/owner/answer.go
@@ -4,8 +4,13 @@
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/stage"
+	"github.com/beaconpoint/beaconpoint/task"
 )
 
+// Answers: the end of a job, whatever it is. Its callers are told once, and what is left
+// of its runs is stopped.
+
 // Kind is how a job was answered. Its numbers appear in logs.
 type Kind uint8
 
@@ -33,3 +38,72 @@
 	// set for jobs that were refused or given up.
 	Retry time.Duration
 }
+
+// answer gives the final answer to j's callers and stops what is left of it.
+func (o *Owner) answer(now time.Duration, j *job, a Answer) {
+	o.stats.count(a.Kind)
+	o.logAnswered(now, j, a)
+	if a.Kind == Completed {
+		o.ObserveStage.Observe(stage.Placing, j.lastOrder-j.firstOrder)
+	}
+	o.countAnswer(a.Why)
+	callers := j.callers
+	j.callers = nil
+	o.drop(now, j)
+	for _, give := range callers {
+		give(a)
+	}
+}
+
+// count counts an answer.
+func (s *Stats) count(k Kind) {
+	switch k {
+	case Completed:
+		s.Completed++
+	case Failed:
+		s.Failed++
+	case GivenUp:
+		s.GivenUp++
+	case Refused:
+		s.Refused++
+	case Cancelled:
+		s.Cancelled++
+	}
+}
+
+// countAnswer passes on the cause of an answer.
+func (o *Owner) countAnswer(why code.Code) {
+	if o.CountAnswer != nil {
+		o.CountAnswer(why)
+	}
+}
+
+// drop forgets j and has its runs stopped.
+func (o *Owner) drop(now time.Duration, j *job) {
+	delete(o.jobs, j.spec.ID)
+	j.queue.remove(j)
+	for k := range j.steps {
+		for n := range j.steps[k].tasks {
+			o.release(task.ID{Job: j.spec.ID, Step: k, Index: n}, &j.steps[k].tasks[n])
+		}
+	}
+}
+
+// release removes a task of a dropped job from its agent and has its run stopped
+// there. Where the agent is lost, the run may go on until the agent is clear.
+func (o *Owner) release(id task.ID, t *taskState) {
+	a := o.agents[t.agent]
+	if a == nil {
+		return
+	}
+	switch t.phase {
+	case placed:
+		delete(a.tasks, id)
+		if !t.stopSent {
+			a.stop(task.Ref{Task: id, Run: t.run})
+		}
+	case uncertain:
+		delete(a.tasks, id)
+		o.uncertainUntil[id.Job] = max(o.uncertainUntil[id.Job], a.clearAt)
+	}
+}
