Chance goes out of placement: it is worth nothing

Entries that know the same were to choose differently by a tenth of a task's time; the speeds that agents learn differ by more.

--- a/node/entry.go
+++ b/node/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +79,7 @@
 		clock:       newSteadyClock(),
 		ForgetAfter: forgetTime,
 		configured:  make(chan struct{}),
-		owner:       owner.NewOwner(log, rand.Float64),
+		owner:       owner.NewOwner(log),
 		links:       make(map[string]*link),
 	}
 	e.startedAt = e.clock.now()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -54,8 +54,6 @@
 	// Send sends a frame to an agent and returns the frame's sequence number,
 	// zero where there is no connection.
 	Send func(agent string, f *peer.Frame) uint64
-	// Random returns a number in [0, 1).
-	Random func() float64
 	// ObserveStage is called with the duration of each stage of a job. May be
 	// nil.
 	ObserveStage stage.Observer
@@ -96,10 +94,9 @@
 }
 
 // NewOwner returns an owner without jobs and agents.
-func NewOwner(log *slog.Logger, random func() float64) *Owner {
+func NewOwner(log *slog.Logger) *Owner {
 	return &Owner{
 		Log:            log,
-		Random:         random,
 		FarFactor:      1,
 		ClearTime:      ClearTime,
 		jobs:           make(map[string]*job),
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -19,9 +19,6 @@
 	// task would take: by then another entry may have taken it. Measured at 85%
 	// load: orders that met a full target fell from 0.146 to 0.101.
 	lastRoomWeight = 1.0
-	// jitterWeight makes entries that know the same choose differently. Not
-	// measured.
-	jitterWeight = 0.1
 	// ejectedPenalty, in seconds, puts ejected targets last: it is longer than any
 	// task. Not measured.
 	ejectedPenalty = 10.0
@@ -37,8 +34,8 @@
 
 // cost returns how long a task of the step is likely to take on the target, in
 // seconds, weighted by what speaks against it. The least is chosen. farFactor is
-// how many times as long it takes away from its data, jitter a number in [0, 1).
-func (c candidate) cost(s task.Step, farFactor, jitter float64) float64 {
+// how many times as long it takes away from its data.
+func (c candidate) cost(s task.Step, farFactor float64) float64 {
 	likely := s.Estimate.Seconds() / c.speed
 	if c.far {
 		likely *= farFactor
@@ -47,7 +44,7 @@
 	if c.capacity.CPU > 0 {
 		load = 1 - float64(c.free.CPU)/float64(c.capacity.CPU)
 	}
-	cost := likely * (1 + loadWeight*load + lastRoomWeight*lastRoomShare(s.Needs, c.free) + jitterWeight*jitter)
+	cost := likely * (1 + loadWeight*load + lastRoomWeight*lastRoomShare(s.Needs, c.free))
 	if c.ejected {
 		cost += ejectedPenalty
 	}
@@ -81,7 +78,7 @@
 			far:      a.far(s),
 			ejected:  a.state.Health == peer.Ejected,
 		}
-		if cost := c.cost(s, o.FarFactor, o.Random()); best == nil || cost < least {
+		if cost := c.cost(s, o.FarFactor); best == nil || cost < least {
 			best, least = a, cost
 		}
 	}
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -57,7 +57,7 @@
 	if e.owner != nil {
 		e.w.ended = addStats(e.w.ended, e.owner.Stats())
 	}
-	e.owner = owner.NewOwner(e.w.cfg.Log.With("node", e.name), e.w.rng.Float64)
+	e.owner = owner.NewOwner(e.w.cfg.Log.With("node", e.name))
 	e.owner.ClearTime = e.w.cfg.Clear
 	e.owner.Send = func(agent string, f *peer.Frame) uint64 { return e.w.linkOf(e.name, agent).fromEntry(f) }
 	incarnation := e.incarnation
