A task may go at once to an agent that rejected its order itself

Cause: after every rejection a task was kept away from the agent for 30 ms, though the agent's state, in the same frame, says what is wrong. Change: only a rejection by the target itself keeps the task away.

--- a/owner/retry.go
+++ b/owner/retry.go
@@ -23,8 +23,8 @@
 	overdueFactor     = 2.5
 	overdueSlack      = 100 * time.Millisecond
 	// failureBackoff is how long a task is kept away from an agent at which it
-	// failed or was overdue, rejectionBackoff from one that did not start it. Not
-	// measured.
+	// failed or was overdue, rejectionBackoff from one whose target did not start it.
+	// Where the agent itself rejected the order its state, in the same frame, says why.
 	failureBackoff   = 3 * time.Second
 	rejectionBackoff = 30 * time.Millisecond
 	// maxTargetFailures is how many failures that count as the target's fault a
@@ -150,11 +150,12 @@
 // recordRejection counts a run that did not begin.
 func (o *Owner) recordRejection(now time.Duration, a *agent, j *job, t *taskState, why code.Code) {
 	o.stats.Rejected++
+	t.tries--
 	if neverReachedTarget(why) {
 		j.orders--
+	} else {
+		t.keepAway(a, now+rejectionBackoff)
 	}
-	t.tries--
-	t.keepAway(a, now+rejectionBackoff)
 	if why == code.RunOld {
 		t.run *= 2 // the target has seen a run with this number or a higher one
 	}
