--- a/owner/comeback.go
+++ b/owner/comeback.go
@@ -44,5 +44,5 @@
 
 // comeBackAfter returns when j's caller should submit it again.
 func (o *Owner) comeBackAfter(now time.Duration, j *job) time.Duration {
-	return j.queue.returns.next(now, j.spec.Work(), returnShare*j.queue.workRate, j.spec.Priority == 0)
+	return j.queue.returning.next(now, j.spec.Work(), returnShare*j.queue.workRate, j.spec.Priority == 0)
 }
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -15,7 +15,8 @@
 	// workRate is how much work its targets take from this entry while jobs wait, in
 	// core-seconds a second, as of the last tick.
 	workRate float64
-	returns  returns
+	// returning says when callers that were refused have been asked to come back.
+	returning returns
 	// usualSpeed is that of the service's targets, as of the last tick.
 	usualSpeed float64
 	// backlogSince is since when jobs have been waiting, zero while none is.
--- a/owner/rate.go
+++ b/owner/rate.go
@@ -18,7 +18,7 @@
 		if !a.usable(now, q.service) || a.state.Health == peer.Ejected {
 			continue
 		}
-		capacity += float64(a.profile.Capacity.CPU) / milliCores * a.speed()
+		capacity += a.profile.Capacity.Cores() * a.speed()
 		used += a.profile.Capacity.CPU - a.freeRoom().CPU
 		for id, j := range a.tasks {
 			own += j.spec.Steps[id.Step].Needs.CPU
@@ -29,6 +29,3 @@
 	}
 	return capacity * min(1, float64(own)/float64(used))
 }
-
-// milliCores is how many thousandths a core has.
-const milliCores = 1000
--- a/supervisor/health.go
+++ b/supervisor/health.go
@@ -26,15 +26,15 @@
 	ejectSlowFactor = 2.5
 	slowDeviations  = 5.0
 	slowMinJobs     = 4
-	// A run at work is overdue after its likely time, times what overdueDeviations
+	// A run at work is overdue after its likely time, times what ejectOverdueDeviations
 	// standard deviations make and ejectOverdueFactor at the least, and
 	// ejectOverdueSlack more. The overdue runs of ejectOverdueJobs different jobs, and
 	// of ejectOverdueShare of all jobs at work there, eject the target.
-	overdueDeviations  = 2.0
-	ejectOverdueFactor = 2.0
-	ejectOverdueSlack  = 30 * time.Millisecond
-	ejectOverdueJobs   = 3
-	ejectOverdueShare  = 1.0 / 3
+	ejectOverdueDeviations = 2.0
+	ejectOverdueFactor     = 2.0
+	ejectOverdueSlack      = 30 * time.Millisecond
+	ejectOverdueJobs       = 3
+	ejectOverdueShare      = 1.0 / 3
 	// probeDeviations is by how many standard deviations a probe may be slow, and
 	// ejectSlowFactor times in any case.
 	probeDeviations = 2.0
@@ -70,9 +70,9 @@
 	lastProbeAt time.Duration
 	goodProbes  int // in a row
 
-	// logRatio is the moving average of the logarithm of the time that runs took
+	// slowness is the moving average of the logarithm of the time that runs took
 	// over the caller's guess.
-	logRatio float64
+	slowness float64
 	baseline baseline
 }
 
@@ -95,7 +95,7 @@
 
 // speed returns the learned speed, 1 being as guessed.
 func (h *health) speed() float64 {
-	return math.Exp(-h.logRatio)
+	return math.Exp(-h.slowness)
 }
 
 // admits reports whether the target may get one more run while the given number of
@@ -151,7 +151,7 @@
 // Measured and reverted: learned against estimates, the trackers' trouble-1 fell
 // from 0.644 to 0.373.
 func (h *health) learnSpeed(guess, took time.Duration) {
-	h.logRatio += speedWeight * (logRatio(took, guess) - h.logRatio)
+	h.slowness += speedWeight * (logRatio(took, guess) - h.slowness)
 }
 
 // add keeps one more end. The baseline learns from those that go: they have not
@@ -257,8 +257,8 @@
 
 // overdueAfter returns how long after its start a run is overdue.
 func (h *health) overdueAfter(o task.Order) time.Duration {
-	likely := float64(o.Estimate) * math.Exp(h.logRatio)
-	factor := max(ejectOverdueFactor, math.Exp(overdueDeviations*h.baseline.spread()))
+	likely := float64(o.Estimate) * math.Exp(h.slowness)
+	factor := max(ejectOverdueFactor, math.Exp(ejectOverdueDeviations*h.baseline.spread()))
 	return time.Duration(factor*likely) + ejectOverdueSlack
 }
 
--- a/task/job.go
+++ b/task/job.go
@@ -15,6 +15,9 @@
 // The platform's pages set it.
 const lateObjectiveFactor = 3
 
+// milliCores is how many thousandths a core has.
+const milliCores = 1000
+
 // Needs is room on a target: what a task takes of it, or what it has.
 type Needs struct {
 	// CPU is in thousandths of a core.
@@ -25,6 +28,11 @@
 	GPU int
 }
 
+// Cores returns how many cores n has.
+func (n Needs) Cores() float64 {
+	return float64(n.CPU) / milliCores
+}
+
 // Fits reports whether n fits into room.
 func (n Needs) Fits(room Needs) bool {
 	return n.CPU <= room.CPU && n.MemoryMB <= room.MemoryMB && n.GPU <= room.GPU
@@ -135,14 +143,11 @@
 func (j Job) Work() float64 {
 	work := 0.0
 	for _, s := range j.Steps {
-		work += float64(s.Count) * s.Estimate.Seconds() * float64(s.Needs.CPU) / milliCores
+		work += float64(s.Count) * s.Estimate.Seconds() * s.Needs.Cores()
 	}
 	return work
 }
 
-// milliCores is how many thousandths a core has.
-const milliCores = 1000
-
 // Tasks returns the number of the job's tasks.
 func (j Job) Tasks() int {
 	count := 0
