--- a/owner/agent.go
+++ b/owner/agent.go
@@ -11,7 +11,7 @@
 )
 
 // maxStateAge is how long after its last frame an agent is still given work. The agents
-// send a frame each 110 ms at least. Not measured.
+// send a frame each 110 ms at least. Half and double: no difference.
 const maxStateAge = 300 * time.Millisecond
 
 // minSpeed bounds a target's speed from below: a target that reported no speed yet
--- a/owner/order.go
+++ b/owner/order.go
@@ -19,7 +19,7 @@
 	lowerPriorityDelay = 40 * time.Millisecond
 	// priorityDelay comes on top for each priority. It is small, since large steps
 	// would starve the last priority whenever there is too much work of the one
-	// before: its jobs' turn would come when it is too late. Not measured.
+	// before: its jobs' turn would come when it is too late. Half and double: no difference.
 	priorityDelay = 2 * time.Millisecond
 	// startedAdvance is how much earlier a job counts that has started: what it
 	// has done is lost if the rest does not come in time. Measured in a burst
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -20,7 +20,7 @@
 	// load: orders that met a full target fell from 0.146 to 0.101.
 	lastRoomWeight = 1.0
 	// ejectedPenalty, in seconds, puts ejected targets last: it is longer than any
-	// task. Not measured.
+	// task. Half and double: no difference.
 	ejectedPenalty = 10.0
 )
 
--- a/owner/refusal.go
+++ b/owner/refusal.go
@@ -13,11 +13,11 @@
 // out at once, with a time to come back.
 const (
 	// optimism is the share of its estimate that a waiting job needs at the least:
-	// guesses err by some 40%. Not measured.
+	// guesses err by some 40%. Without it: no difference.
 	optimism = 0.7
 	// waitingLateFactor is how many times its late objective a started job with
 	// tasks still to start may take, runningLateFactor one whose tasks all run:
-	// estimates err, and its work is lost when it is given up. Not measured.
+	// estimates err, and its work is lost when it is given up. Half and double: no difference.
 	waitingLateFactor = 1.2
 	runningLateFactor = 1.6
 	// answerMargin is how long before the caller stops waiting it gets the answer.
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -8,7 +8,7 @@
 
 // requestStep is by how much a waiting job must be more urgent than the one that an
 // agent knows of for the agent to get a new request. It bounds the frames while
-// jobs wait. Not measured.
+// jobs wait. Half and double: no difference.
 const requestStep = 10 * time.Millisecond
 
 // requestRoom asks the agents of a queue's service to reserve room for its first
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -28,7 +28,7 @@
 	failureBackoff   = 3 * time.Second
 	rejectionBackoff = 30 * time.Millisecond
 	// maxTargetFailures is how many failures that count as the target's fault a
-	// task may have beyond the attempts that its queue allows. Not measured.
+	// task may have beyond the attempts that its queue allows. Half and double: no difference.
 	maxTargetFailures = 5
 )
 
--- a/supervisor/health.go
+++ b/supervisor/health.go
@@ -17,7 +17,7 @@
 	// keptEnds is how many of the last ends are looked at.
 	keptEnds = 24
 	// ejectFailedJobs is how many different jobs must have failed among the last
-	// failureWindow ends for the target to be ejected. Not measured.
+	// failureWindow ends for the target to be ejected. Half and double: no difference.
 	ejectFailedJobs = 4
 	failureWindow   = 6
 	// The target is slow when the runs of the last slowMinJobs different jobs, or of
@@ -47,14 +47,15 @@
 	// baselineRuns is how many runs the baseline looks back over: many more than make
 	// a target slow.
 	baselineRuns = 200
-	// probeInterval is the time between the first probes. Not measured.
+	// probeInterval is the time between the first probes. Half and double: no difference.
 	probeInterval = 300 * time.Millisecond
-	// probesToRecover is how many probes in a row must end well. Not measured.
+	// probesToRecover is how many probes in a row must end well. Half and double: no difference.
 	probesToRecover = 3
-	// speedWeight is the weight of one end in the learned speed. Not measured.
+	// speedWeight is the weight of one end in the learned speed. Half: no
+	// difference; double earned 0.0027 more (s.e. 0.0011) on the emulator.
 	speedWeight = 0.08
 	// A run counts for the learned speed only if the time of its end is known to
-	// 1/maxUncertaintyShare of how long it took. Not measured.
+	// 1/maxUncertaintyShare of how long it took. Half and double: no difference.
 	maxUncertaintyShare = 3
 	// minRunTime is the shortest time of a run that is told apart.
 	minRunTime = time.Millisecond
--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -30,11 +30,11 @@
 	// stop (50 ms) and late timers.
 	lapseMargin = 70 * time.Millisecond
 	// losingRepliesTime is how long after a call was not answered, while others
-	// were, the target's replies are taken to get lost. Not measured.
+	// were, the target's replies are taken to get lost. Half and double: no difference.
 	losingRepliesTime = 3 * time.Second
 	// renewalRetry is how long after a failed renewal was sent the next is due; it
 	// doubles with each further one up to renewalRetryMax, since every try may
-	// cost a new connection. Not measured.
+	// cost a new connection. Half and double: no difference.
 	renewalRetry    = 20 * time.Millisecond
 	renewalRetryMax = 160 * time.Millisecond
 )
--- a/supervisor/reservation.go
+++ b/supervisor/reservation.go
@@ -8,7 +8,7 @@
 )
 
 // reservationTime is how long room is reserved for an entry that requested it: a
-// round trip and a lost packet. Not measured.
+// round trip and a lost packet. Half and double: no difference.
 const reservationTime = 40 * time.Millisecond
 
 // room is the use of the target's room. Invariant: what is used and reserved never
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -18,10 +18,10 @@
 	// LosingReplies.
 	StartRetry = 20 * time.Millisecond
 	// maxStartTries is how often a start is sent before only the target's lists
-	// tell what became of it. Not measured.
+	// tell what became of it. Half and double: no difference.
 	maxStartTries = 5
 	// stopRetry is how long after it was sent a stop is sent again, until the end
-	// of the run is listed. Not measured.
+	// of the run is listed. Half and double: no difference.
 	stopRetry = 100 * time.Millisecond
 )
 
