The time to come back outlives a moment without targets

Cause: where no target was usable at the last tick, callers were told a second as if nothing had been known. TestAnswersToCallers, beside a load average of 26, got that second in place of half of one: its first request came before a tick had seen the target. Change: the rate that was known last counts, and it is known from an agent's first state on.

--- a/owner/agent.go
+++ b/owner/agent.go
@@ -191,6 +191,10 @@
 func (o *Owner) updateState(now time.Duration, a *agent, st *peer.State) {
 	ejected := st.Health == peer.Ejected && a.state.Health != peer.Ejected
 	a.applyState(st)
+	if st.Profile != nil {
+		q := o.queue(a.profile.Service)
+		q.setWorkRate(o.workRate(now, q))
+	}
 	if st.Cleared && a.clearAt > 0 {
 		o.clearAgent(now, a)
 	}
--- a/owner/comeback.go
+++ b/owner/comeback.go
@@ -14,8 +14,8 @@
 	// the same backlog, a longer one helps nobody when the load has turned.
 	minReturn = 500 * time.Millisecond
 	maxReturn = 10 * time.Second
-	// RetryAfter is the time to come back where nothing is known of the load: the
-	// entry has no configuration, too many jobs, or no target that takes work.
+	// RetryAfter is the time to come back where nothing was ever known of the load: the
+	// entry has no configuration, too many jobs, or no target has taken work yet.
 	RetryAfter = time.Second
 )
 
@@ -44,5 +44,5 @@
 
 // comeBackAfter returns when j's caller should submit it again.
 func (o *Owner) comeBackAfter(now time.Duration, j *job) time.Duration {
-	return j.queue.returning.next(now, j.spec.Work(), returnShare*j.queue.workRate, j.spec.Priority == 0)
+	return j.queue.returning.next(now, j.spec.Work(), returnShare*j.queue.knownRate, j.spec.Priority == 0)
 }
--- a/owner/comeback_test.go
+++ b/owner/comeback_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/task"
 )
 
 // TestCallersReturnOneAfterTheOther: targets take 2 core-seconds of returning work a
@@ -27,3 +30,20 @@
 		assert.Assert(t, r.next(now, work, rate, false) <= maxReturn)
 	}
 }
+
+// TestTheTimeToComeBackOutlivesTheTargets: the load that was known last counts while no
+// target takes work, and from an agent's first state on.
+func TestTheTimeToComeBackOutlivesTheTargets(t *testing.T) {
+	o := newTestOwner()
+	q := o.queue("s")
+	assert.Equal(t, q.knownRate, 0.0)
+	o.Connected(0, "a")
+	o.Receive(0, "a", &peer.Frame{State: &peer.State{
+		Profile: &peer.Profile{Service: "s", Capacity: task.Needs{CPU: 16000}},
+		Free:    task.Needs{CPU: 16000}, Speed: 1, Accepting: true, Cleared: true,
+	}})
+	assert.Equal(t, q.knownRate, 16.0)
+	o.Tick(2 * maxStateAge)
+	assert.Equal(t, q.workRate, 0.0)
+	assert.Equal(t, q.knownRate, 16.0)
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -224,7 +224,7 @@
 	for _, s := range services {
 		q := o.queues[s]
 		q.usualSpeed = o.usualSpeed(s)
-		q.workRate = o.workRate(now, q)
+		q.setWorkRate(o.workRate(now, q))
 		o.refuseHopeless(now, q)
 	}
 	for _, s := range services {
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -13,8 +13,9 @@
 	service string
 	waiting jobHeap
 	// workRate is how much work its targets take from this entry while jobs wait, in
-	// core-seconds a second, as of the last tick.
-	workRate float64
+	// core-seconds a second, as of the last tick; knownRate is the last one at which
+	// any target took work.
+	workRate, knownRate float64
 	// returning says when callers that were refused have been asked to come back.
 	returning returns
 	// usualSpeed is that of the service's targets, as of the last tick.
@@ -42,6 +43,14 @@
 	return time.Duration(work / q.workRate * float64(time.Second))
 }
 
+// setWorkRate sets the rate at which its targets take work from this entry.
+func (q *queue) setWorkRate(rate float64) {
+	q.workRate = rate
+	if rate > 0 {
+		q.knownRate = rate
+	}
+}
+
 // trackBacklog updates since when jobs have been waiting.
 func (q *queue) trackBacklog(now time.Duration) {
 	switch {
