A home is asked also for a job whose expiry has passed

Cause: a seat gave up on a home at the deadline of the submission and half a second; for an expiry in the past that time is over before the home is asked, so that the next tick answered 503 home-unreachable, unless the home's 410 expiry-past came before it. Change: the grace counts from now where the deadline has passed.

--- a/seats/home/submit.go
+++ b/seats/home/submit.go
@@ -135,12 +135,20 @@
 	}
 }
 
+// forwardUntil returns until when the home of a submission is waited for: forwardGrace
+// after its deadline, or after now where that has passed, since the home must be asked
+// all the same what became of the job.
+func forwardUntil(now clock.Moment, sub job.Submission) time.Duration {
+	left := time.UnixMilli(sub.Deadline).Sub(now.Wall)
+	return now.Mono + max(0, left) + forwardGrace
+}
+
 // forward sends a caller's submission to the seat to.
 func (h *Home) forward(ticket uint64, sub job.Submission, lookup bool, to roster.ID, pointed bool) {
 	h.tickets++
 	f := &forward{
 		sub: sub, lookup: lookup, to: to, local: ticket, pointed: pointed,
-		until: h.now.Mono + time.UnixMilli(sub.Deadline).Sub(h.now.Wall) + forwardGrace,
+		until: forwardUntil(h.now, sub),
 	}
 	h.forwards[h.tickets] = f
 	h.sendForward(h.tickets, f)
@@ -164,7 +172,7 @@
 	h.tickets++
 	f := &forward{
 		sub: sub, lookup: lookup, to: l.id, origin: w, pointed: true,
-		until: h.now.Mono + time.UnixMilli(sub.Deadline).Sub(h.now.Wall) + forwardGrace,
+		until: forwardUntil(h.now, sub),
 	}
 	h.forwards[h.tickets] = f
 	h.sendForward(h.tickets, f)
