--- a/owner/agent.go
+++ b/owner/agent.go
@@ -193,7 +193,7 @@
 	a.applyState(st)
 	if st.Profile != nil {
 		q := o.queue(a.profile.Service)
-		q.setWorkRate(o.workRate(now, q))
+		q.setKnownRate(o.workRate(now, q))
 	}
 	if st.Cleared && a.clearAt > 0 {
 		o.clearAgent(now, a)
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -46,6 +46,11 @@
 // setWorkRate sets the rate at which its targets take work from this entry.
 func (q *queue) setWorkRate(rate float64) {
 	q.workRate = rate
+	q.setKnownRate(rate)
+}
+
+// setKnownRate keeps the rate for the time to come back, unless no target takes work.
+func (q *queue) setKnownRate(rate float64) {
 	if rate > 0 {
 		q.knownRate = rate
 	}
