Entries watch the agents that they use, and request room before they order

Cause: at 55 entries and 240 targets each pair exchanged a frame each 110 ms in both directions, some 240,000 a second with nothing to say; each agent told all entries of each change; each order carried the job's whole spec, again after each refusal; and many entries saw the same free room and took it at once (0.25 to 0.9 refused orders a start).

Change, in one commit since the parts rest on each other: - frames are maps of the fields that are not empty; arrays of the version before are still decoded, and it decodes these: a field can be added from now on. Both sides say their level in the first frame, and keep to the lower one. - an entry watches a few agents, which tell it of each change; other connections carry a heartbeat each 2 s. The lease of an entry counts from a lower bound of the agent's clock, which goes on between stamps but not past the entry's last tick. - an order goes without a reservation only to an empty target; otherwise two agents for each waiting task are asked for room, and one more each 3 ms. - a spec goes to an agent once. - the emulator has scenes of 55 entries and 240 agents, and one lookup a frame.

--- a/code/code.go
+++ b/code/code.go
@@ -104,6 +104,7 @@
 	RunOwnerSilent     Code = 715
 	RunOverLimit       Code = 716
 	RunTargetRoom      Code = 717
+	RunSpecUnknown     Code = 718
 )
 
 // Reasons of an entry's and an agent's judgements (8xx).
--- a/code/table.go
+++ b/code/table.go
@@ -82,6 +82,7 @@
 	{RunOwnerSilent, "run-owner-silent", http.StatusServiceUnavailable, "The entry was silent for its lease."},
 	{RunOverLimit, "run-over-limit", http.StatusServiceUnavailable, "The caller's time was over."},
 	{RunTargetRoom, "run-target-room", http.StatusServiceUnavailable, "The target says that the run does not fit."},
+	{RunSpecUnknown, "run-spec-unknown", http.StatusServiceUnavailable, "The order left out a spec that the agent does not remember."},
 
 	{JobAllDone, "job-all-done", http.StatusOK, "Every task has ended well."},
 	{JobAttempts, "job-attempts", http.StatusOK, "A task has failed as often as its queue allows."},
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -1,6 +1,6 @@
 // Package framing writes and reads frames: a length prefix of four bytes, big endian,
-// and values in msgpack, their structs as arrays. It owns no state; packages peer and
-// seats/wire say what the values are.
+// and values in msgpack. It owns no state; packages peer and seats/wire say what the
+// values are.
 package framing
 
 import (
@@ -18,15 +18,27 @@
 // ErrSize means that a frame is larger than its limit.
 var ErrSize = errors.New("framing: frame is larger than the limit")
 
+// Form is how structs are encoded.
+type Form bool
+
+// Forms.
+const (
+	// Arrays holds each field, in order: short, but a struct can't get another field.
+	Arrays Form = false
+	// Maps holds the names of the fields and those that are not empty.
+	Maps Form = true
+)
+
 // Append appends a frame of the values to buf. limit bounds its size in bytes, without
 // the prefix. After an error buf is as it was.
-func Append(buf []byte, limit int, values ...any) ([]byte, error) {
+func Append(buf []byte, limit int, form Form, values ...any) ([]byte, error) {
 	w := &sliceWriter{data: append(buf, make([]byte, PrefixSize)...)}
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(w)
 	enc.UseCompactInts(true)
-	enc.UseArrayEncodedStructs(true)
+	enc.UseArrayEncodedStructs(form == Arrays)
+	enc.SetOmitEmpty(form == Maps)
 	if err := enc.EncodeMulti(values...); err != nil {
 		return buf, fmt.Errorf("framing: encode: %w", err)
 	}
--- a/node/agent.go
+++ b/node/agent.go
@@ -48,6 +48,7 @@
 	configVersion   uint64            // of the document
 	documentRequest documentRequest
 	flushScheduled  bool
+	pause           pause
 }
 
 // agentConn is a connection of an entry.
@@ -163,9 +164,9 @@
 	c := peer.NewConn(raw)
 	defer c.Close()
 	defer context.AfterFunc(ctx, c.Close)()
-	watchdog := time.AfterFunc(peerSilence, func() { c.CloseFor(errSilent) })
-	defer watchdog.Stop()
+	watchdog := time.AfterFunc(peer.Silence, func() { c.CloseFor(errSilent) })
 	f, err := c.Receive()
+	watchdog.Stop()
 	if err != nil || f.Hello == nil || f.Hello.Role != peer.RoleEntry {
 		return // not an entry, or one that has gone: it connects again
 	}
@@ -178,7 +179,6 @@
 			a.log.Info(event.ConnectionEnded, "entry", hello.Name, "error", c.Cause(err).Error())
 			break
 		}
-		watchdog.Reset(peerSilence)
 		a.receive(id, f)
 	}
 	a.disconnect(id)
@@ -191,7 +191,7 @@
 	a.lastConn++
 	a.conns[a.lastConn] = &agentConn{name: h.Name, conn: c}
 	a.entries[h.Name] = h.Addr
-	a.supervisor.Connected(a.clock.now(), a.lastConn, h.Name)
+	a.supervisor.Connected(a.clock.now(), a.lastConn, h.Name, h.Level)
 	return a.lastConn
 }
 
@@ -257,15 +257,30 @@
 	})
 }
 
-// tick calls the supervisor's Tick and sends heartbeats until the context ends.
+// tick calls the supervisor's Tick, sends heartbeats and gives up silent connections until
+// the context ends.
 func (a *Agent) tick(ctx context.Context) error {
 	for sleep(ctx, supervisor.TickInterval) {
 		a.mu.Lock()
 		now := a.clock.now()
+		judge := a.pause.tick(now)
 		a.supervisor.Tick(now)
-		a.supervisor.Heartbeats(now, now-heartbeatInterval)
+		a.supervisor.Heartbeats(now)
+		if judge {
+			a.closeSilent(now)
+		}
 		a.scheduleFlush()
 		a.mu.Unlock()
 	}
 	return nil
 }
+
+// closeSilent gives up the connections whose entries have been silent for too long. It is
+// called with the lock held.
+func (a *Agent) closeSilent(now time.Duration) {
+	for id, c := range a.conns {
+		if a.supervisor.SilentTooLong(now, id) {
+			c.conn.CloseFor(errSilent)
+		}
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -64,7 +64,8 @@
 	mu              sync.Mutex // guards what follows
 	owner           *owner.Owner
 	links           map[string]*link // by agent
-	document        []byte           // of the configuration in force
+	pause           pause
+	document        []byte // of the configuration in force
 	documentRequest documentRequest
 	documentPacer   documentPacer
 }
@@ -200,13 +201,18 @@
 	return nil
 }
 
-// tick calls the owner's Tick and sends heartbeats until the context ends.
+// tick calls the owner's Tick, sends heartbeats and gives up silent connections until the
+// context ends.
 func (e *Entry) tick(ctx context.Context) {
 	for sleep(ctx, owner.TickInterval) {
 		e.mu.Lock()
 		now := e.clock.now()
+		judge := e.pause.tick(now)
 		e.owner.Tick(now)
-		e.owner.Heartbeats(now, now-heartbeatInterval)
+		e.owner.Heartbeats(now)
+		if judge {
+			e.closeSilent(now)
+		}
 		e.mu.Unlock()
 	}
 }
--- a/node/link.go
+++ b/node/link.go
@@ -13,12 +13,6 @@
 
 // Times of the connections between entries and agents.
 const (
-	// heartbeatInterval is how often a connection carries a frame at least, so that
-	// leases go on. docs/CAPACITY.md counts its bytes. Not measured.
-	heartbeatInterval = 110 * time.Millisecond
-	// peerSilence is how long a peer may be silent before its connection is given
-	// up: longer than the entry's lease. Not measured.
-	peerSilence = 800 * time.Millisecond
 	// dialTimeout bounds the making of a connection. Not measured.
 	dialTimeout = 500 * time.Millisecond
 	// dialRetry is the time from one failed try to reach a peer to the next. It
@@ -30,14 +24,14 @@
 	forgetTime = 2 * time.Minute
 )
 
-// errSilent means that a peer sent nothing for peerSilence.
+// errSilent means that a peer sent nothing for as long as its connection allows.
 var errSilent = errors.New("node: the peer was silent for too long")
 
 // link is an entry's connection to one agent, which it keeps connecting.
 type link struct {
 	registration Registration
 	conn         *peer.Conn    // nil while there is none
-	echo         time.Duration // the agent's latest stamp
+	echo         peer.Echo     // the agent's latest stamp
 	sentAt       time.Duration // when the last frame was sent
 	retryNow     chan struct{} // asks for a try at once
 }
@@ -121,8 +115,6 @@
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	go c.Run()
-	watchdog := time.AfterFunc(peerSilence, func() { c.CloseFor(errSilent) })
-	defer watchdog.Stop()
 	e.connect(l, c)
 	for {
 		f, err := c.Receive()
@@ -130,7 +122,6 @@
 			e.log.Info(event.ConnectionEnded, "agent", l.registration.Name, "error", c.Cause(err).Error())
 			break
 		}
-		watchdog.Reset(peerSilence)
 		e.receive(l, c, f)
 	}
 	c.Close()
@@ -142,9 +133,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l.conn = c
-	l.echo = 0
+	l.echo = peer.Echo{}
 	e.linked.Add(1)
-	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers}
+	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers, Level: peer.LevelWatch}
 	l.sentAt = e.clock.now()
 	c.Send(&peer.Frame{Hello: hello, Stamp: l.sentAt})
 	e.owner.Connected(l.sentAt, l.registration.Name)
@@ -169,14 +160,16 @@
 	if l.conn != c {
 		return
 	}
-	l.echo = max(l.echo, f.Stamp)
 	now := e.clock.now()
+	l.echo.Observe(now, f.Stamp)
 	e.passDocument(now, l.registration.Name, f)
 	e.owner.Receive(now, l.registration.Name, f)
 }
 
 // send stamps a frame and sends it to an agent. It returns the frame's number, zero
-// where there is no connection. It is called with the lock held.
+// where there is no connection. It is called with the lock held. The echo goes no further
+// than the last tick: an entry that was stopped in between grants itself no lease by what
+// it decided before.
 func (e *Entry) send(name string, f *peer.Frame) uint64 {
 	l := e.links[name]
 	if l == nil || l.conn == nil {
@@ -184,11 +177,21 @@
 	}
 	l.sentAt = e.clock.now()
 	f.Stamp = l.sentAt
-	f.Echo = l.echo
+	f.Echo = l.echo.At(e.pause.lastAt)
 	f.Config = e.version()
 	return l.conn.Send(f)
 }
 
+// closeSilent gives up the connections whose agents have been silent for too long. It is
+// called with the lock held.
+func (e *Entry) closeSilent(now time.Duration) {
+	for name, l := range e.links {
+		if l.conn != nil && e.owner.SilentTooLong(now, name) {
+			l.conn.CloseFor(errSilent)
+		}
+	}
+}
+
 // accept takes the connection of an agent that introduces itself, and closes it.
 func (e *Entry) accept(ctx context.Context, raw net.Conn) {
 	defer raw.Close()
--- /dev/null
+++ b/node/pause_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAProcessThatWasStoppedJudgesNobodyAtOnce: its peers' frames wait to be read.
+func TestAProcessThatWasStoppedJudgesNobodyAtOnce(t *testing.T) {
+	const tick = 20 * time.Millisecond
+	var p pause
+	now := time.Hour
+	assert.Assert(t, !p.tick(now), "the first tick follows no other")
+	for range 10 {
+		now += tick
+		p.tick(now)
+	}
+	assert.Assert(t, p.tick(now+tick))
+	now += 2 * time.Second
+	assert.Assert(t, !p.tick(now), "stopped for 2 s")
+	assert.Assert(t, !p.tick(now+catchUpTime-tick))
+	assert.Assert(t, p.tick(now+catchUpTime))
+}
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -22,9 +22,16 @@
 type agent struct {
 	name      string
 	connected bool
+	level     peer.Level    // that the agent understands
 	heardAt   time.Duration // when its last frame came
 	sentAt    time.Duration // when the last frame to it was sent
 
+	// watching says that this entry watches the target, watchedSince since when, and
+	// usedAt when it last ordered something there or requested room: see watch.go.
+	watching             bool
+	watchedSince, usedAt time.Duration
+	specs                peer.Specs // of jobs: which ones the agent remembers
+
 	profile peer.Profile
 	state   peer.State
 	labels  map[string]bool // of the profile
@@ -71,10 +78,14 @@
 	return slices.SortedFunc(maps.Keys(a.tasks), task.ID.Compare)
 }
 
+// serves reports whether the agent takes work of a service, as far as is known.
+func (a *agent) serves(service string) bool {
+	return a.connected && a.state.Accepting && a.state.Cleared && a.profile.Service == service
+}
+
 // usable reports whether the agent may be given work of a service at now.
 func (a *agent) usable(now time.Duration, service string) bool {
-	return a.connected && a.state.Accepting && a.state.Cleared &&
-		a.profile.Service == service && now-a.heardAt <= maxStateAge
+	return a.serves(service) && now-a.heardAt <= maxStateAge
 }
 
 // stop adds the order to stop a run to the next frame.
@@ -98,6 +109,11 @@
 	}
 }
 
+// deleteAgent deletes a from a list.
+func deleteAgent(list []*agent, a *agent) []*agent {
+	return slices.DeleteFunc(list, func(b *agent) bool { return a == b })
+}
+
 // Connected records a new connection to an agent. Nothing that was believed of the
 // agent holds any more until its first state.
 func (o *Owner) Connected(now time.Duration, name string) {
@@ -109,7 +125,9 @@
 		o.byName = insertByName(o.byName, a)
 	}
 	a.connected = true
+	a.level = peer.LevelBase
 	a.heardAt = now
+	a.specs = peer.Specs{}
 	a.profile = peer.Profile{}
 	a.state = peer.State{}
 	a.pending = nil
@@ -140,6 +158,7 @@
 		return
 	}
 	a.connected = false
+	o.endWatch(a)
 	a.out = peer.Frame{}
 	a.dirty = false
 	a.clearAt = max(a.clearAt, lastSent+o.ClearTime)
@@ -172,6 +191,12 @@
 		return
 	}
 	a.heardAt = now
+	if f.Hello != nil {
+		a.level = f.Hello.Level
+	}
+	if a.level < peer.LevelWatch {
+		o.beginWatch(now, a)
+	}
 	if f.State != nil {
 		o.updateState(now, a, f.State)
 	}
@@ -229,11 +254,11 @@
 	}
 }
 
-// Heartbeats sends an empty frame to each agent that has got none since the given
-// time, so that this entry's lease there goes on.
-func (o *Owner) Heartbeats(now, since time.Duration) {
+// Heartbeats sends an empty frame to each agent that has got none for the interval of its
+// connection, so that this entry's lease there goes on.
+func (o *Owner) Heartbeats(now time.Duration) {
 	for _, a := range o.byName {
-		a.dirty = a.dirty || a.connected && a.sentAt <= since
+		a.dirty = a.dirty || a.connected && now-a.sentAt >= peer.Interval(a.used())
 	}
 	o.flush(now)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -15,6 +15,8 @@
 //	admission.go   whether a job is taken at all
 //	order.go       which waiting job is served first
 //	placement.go   on which target a task runs
+//	watch.go       which agents this entry uses
+//	reservation.go which agents are asked for room
 //	refusal.go     when a job is refused or given up
 //	comeback.go    when the caller of a job that was not done should come back
 //	retry.go       when a run is stopped, and when and where its task runs again
@@ -28,6 +30,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -65,12 +68,17 @@
 	ClearTime time.Duration
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// Random returns a random number from 0 to below n.
+	Random func(n int) int
 
 	jobs   map[string]*job   // by id
 	queues map[string]*queue // by service
 
-	agents map[string]*agent // by name; never removed
-	byName []*agent          // the same, sorted
+	agents  map[string]*agent // by name; never removed
+	byName  []*agent          // the same, sorted
+	watched []*agent          // those that are watched, sorted: see watch.go
+	// lastJobAt is when the last job came.
+	lastJobAt time.Duration
 
 	estimators map[string]*estimate.Estimator // by queue of the configuration
 
@@ -98,6 +106,7 @@
 	return &Owner{
 		Log:            log,
 		FarFactor:      1,
+		Random:         rand.IntN,
 		ClearTime:      ClearTime,
 		jobs:           make(map[string]*job),
 		queues:         make(map[string]*queue),
@@ -135,6 +144,7 @@
 func (o *Owner) Submit(now time.Duration, spec task.Job, answer func(Answer)) uint64 {
 	defer o.flush(now)
 	o.callers++
+	o.lastJobAt = now
 	j := o.jobs[spec.ID]
 	if j == nil {
 		if why := admit(len(o.jobs)); why != code.OK {
@@ -212,6 +222,7 @@
 			o.clearAgent(now, a)
 		}
 	}
+	o.adjustWatches(now)
 	for id, until := range o.uncertainUntil {
 		if now >= until {
 			delete(o.uncertainUntil, id)
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -60,31 +60,52 @@
 	return min(1, float64(needs.CPU)/float64(max(1, room.CPU)))
 }
 
-// choose returns the agent whose target should run the task, or nil where none has
-// room.
+// choose returns the agent at which the task should be ordered, or nil where room should
+// be requested first: none of those that are watched is believed to have room, or it may
+// be gone before the order arrives.
 func (o *Owner) choose(now time.Duration, j *job, step, index int) *agent {
 	s := j.spec.Steps[step]
 	t := &j.steps[step].tasks[index]
 	var best *agent
 	var least float64
-	for _, a := range o.byName {
+	uncertain := false
+	for _, a := range o.watched {
 		if !a.usable(now, j.spec.Service) || !s.Needs.Fits(a.freeRoom()) || !o.allowed(now, j, step, t, a) {
 			continue
 		}
-		c := candidate{
-			speed:    a.speed(),
-			capacity: a.profile.Capacity,
-			free:     a.freeRoom(),
-			far:      a.far(s),
-			ejected:  a.state.Health == peer.Ejected,
+		if !a.roomCertain() {
+			uncertain = true
+			continue
 		}
-		if cost := c.cost(s, o.FarFactor); best == nil || cost < least {
+		if cost := a.candidate(s).cost(s, o.FarFactor); best == nil || cost < least {
 			best, least = a, cost
 		}
 	}
+	if best != nil && best.state.Health == peer.Ejected && uncertain {
+		return nil
+	}
 	return best
 }
 
+// roomCertain reports whether the room that a is believed to have will surely be there
+// when an order arrives, as far as that can be known: the target is empty. Another entry
+// may take any other room in the meantime; a request for it costs one round trip. Agents
+// of the version before are given orders wherever there seems to be room.
+func (a *agent) roomCertain() bool {
+	return a.level < peer.LevelWatch || a.freeRoom() == a.profile.Capacity
+}
+
+// candidate returns a as a candidate for a task of the step.
+func (a *agent) candidate(s task.Step) candidate {
+	return candidate{
+		speed:    a.speed(),
+		capacity: a.profile.Capacity,
+		free:     a.freeRoom(),
+		far:      a.far(s),
+		ejected:  a.state.Health == peer.Ejected,
+	}
+}
+
 // far reports whether the step's data lies away from a's target.
 func (a *agent) far(s task.Step) bool {
 	return s.Rack != "" && !a.labels[s.Rack]
@@ -167,6 +188,7 @@
 	t.stopSent = false
 	id := task.ID{Job: j.spec.ID, Step: step, Index: index}
 	a.tasks[id] = j
+	a.usedAt = now
 	a.out.Starts = append(a.out.Starts, o.order(now, j, id, t.run, a))
 	a.dirty = true
 	s := j.spec.Steps[step]
@@ -194,5 +216,18 @@
 	if j.callerDeadline > 0 {
 		order.TimeLeft = j.callerDeadline - now
 	}
+	if a.level >= peer.LevelWatch {
+		a.leaveOutSpec(&order)
+	}
 	return order
 }
+
+// leaveOutSpec leaves the job's spec out of an order where the agent remembers it.
+func (a *agent) leaveOutSpec(order *task.Order) {
+	if _, kept := a.specs.Find(order.Task.Job); kept {
+		order.Spec = ""
+		order.SpecKept = true
+		return
+	}
+	a.specs.Add(order.Task.Job, "") // the agent keeps the text
+}
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -104,6 +104,18 @@
 	return nil
 }
 
+// waitingTasks returns how many tasks wait, but not more than most.
+func (q *queue) waitingTasks(most int) int {
+	count := 0
+	for _, j := range q.waiting {
+		count += j.waitingTasks()
+		if count >= most {
+			return most
+		}
+	}
+	return count
+}
+
 // firstDemand returns the room that the waiting tasks of the first job take, in
 // thousandths of a core.
 func (q *queue) firstDemand() int {
--- a/owner/rate.go
+++ b/owner/rate.go
@@ -6,15 +6,15 @@
 	"github.com/beaconpoint/beaconpoint/peer"
 )
 
-// workRate returns how much work the targets of a service take from this entry while jobs
-// wait, in core-seconds a second: their whole capacity at their speeds, times this entry's
-// share of the room in use, its first waiting job taken to be at work. Ejected targets
-// don't count.
+// workRate returns how much work the targets of a service that this entry watches take
+// from it while jobs wait, in core-seconds a second: their whole capacity at their speeds,
+// times this entry's share of the room in use, its first waiting job taken to be at work.
+// Ejected targets don't count.
 func (o *Owner) workRate(now time.Duration, q *queue) float64 {
 	capacity := 0.0
 	first := q.firstDemand()
 	used, own := first, first
-	for _, a := range o.byName {
+	for _, a := range o.watched {
 		if !a.usable(now, q.service) || a.state.Health == peer.Ejected {
 			continue
 		}
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -51,7 +51,7 @@
 // neverReachedTarget reports whether an order that was rejected for the reason was
 // not passed on to the target.
 func neverReachedTarget(why code.Code) bool {
-	return why == code.RunNoRoom || why == code.RunNotTaking || why == code.RunStaleOwner
+	return why == code.RunNoRoom || why == code.RunNotTaking || why == code.RunStaleOwner || why == code.RunSpecUnknown
 }
 
 // checkOverdue stops a run that has taken far too long.
@@ -156,6 +156,9 @@
 	} else {
 		t.keepAway(a, now+rejectionBackoff)
 	}
+	if why == code.RunSpecUnknown {
+		a.specs = peer.Specs{} // the next order has it
+	}
 	if why == code.RunOld {
 		t.run *= 2 // the target has seen a run with this number or a higher one
 	}
--- /dev/null
+++ b/peer/array_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"encoding/hex"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/framing"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// TestFramesOfTheVersionBeforeAreUnderstood decodes the bytes that the version before
+// sends for each kind of frame.
+func TestFramesOfTheVersionBeforeAreUnderstood(t *testing.T) {
+	text, err := os.ReadFile("testdata/frames-array.golden")
+	assert.NilError(t, err)
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	before := make(map[string][]byte)
+	for k := 0; k+1 < len(lines); k += 2 {
+		before[lines[k]], err = hex.DecodeString(lines[k+1])
+		assert.NilError(t, err)
+	}
+	found := 0
+	for _, g := range goldenFrames() {
+		bytes, ok := before[g.name]
+		if !ok {
+			continue // a kind that the version before does not know
+		}
+		found++
+		f, err := DecodeFrame(bytes[framing.PrefixSize:])
+		assert.NilError(t, err, g.name)
+		assert.DeepEqual(t, f, g.frame)
+	}
+	assert.Equal(t, found, len(before))
+}
+
+// TestTheVersionBeforeUnderstandsFrames decodes each kind of frame as the version before
+// does: into its own structs, which lack the new fields.
+func TestTheVersionBeforeUnderstandsFrames(t *testing.T) {
+	for _, g := range append(goldenFrames(), goldenFrame{"whole", whole()}) {
+		buf, err := AppendFrame(nil, g.frame)
+		assert.NilError(t, err)
+		var old arrayFrame
+		assert.NilError(t, msgpack.Unmarshal(buf[framing.PrefixSize:], &old), g.name)
+		assert.Equal(t, old.Stamp, g.frame.Stamp)
+		assert.Equal(t, old.Seq, g.frame.Seq)
+		assert.Equal(t, old.UsedReservation, g.frame.UsedReservation)
+		assert.Equal(t, len(old.Starts), len(g.frame.Starts))
+		for k, o := range g.frame.Starts {
+			o.SpecKept = false // the version before is never sent such an order
+			assert.Equal(t, old.Starts[k].order(), o)
+		}
+		assert.DeepEqual(t, old.Ended, g.frame.Ended)
+		assert.DeepEqual(t, old.State, g.frame.State)
+		assert.DeepEqual(t, old.RoomRequest, g.frame.RoomRequest)
+		if h := g.frame.Hello; h != nil {
+			assert.Equal(t, *old.Hello, arrayHello{Role: h.Role, Name: h.Name, Addr: h.Addr, Introduce: h.Introduce})
+		}
+	}
+}
+
+// TestFramesCanGrow: a field that this version does not know is skipped, in the frame and
+// in a part of it.
+func TestFramesCanGrow(t *testing.T) {
+	type laterHello struct {
+		Name, Later string
+	}
+	type laterFrame struct {
+		Seq   uint64
+		Hello *laterHello
+		Later []task.Needs
+	}
+	buf, err := framing.Append(nil, maxFrame, framing.Maps, &laterFrame{Seq: 7, Hello: &laterHello{"edge-1", "x"}, Later: []task.Needs{{CPU: 1}}})
+	assert.NilError(t, err)
+	f, err := DecodeFrame(buf[framing.PrefixSize:])
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f, &Frame{Seq: 7, Hello: &Hello{Name: "edge-1"}})
+}
+
+// TestArraysOfAnotherLengthAreRefused: the form of the version before can't grow.
+func TestArraysOfAnotherLengthAreRefused(t *testing.T) {
+	for _, body := range [][]byte{{0x92, 1, 2}, {0x94, 1, 2, 3, 4}} {
+		var needs task.Needs
+		assert.ErrorContains(t, msgpack.Unmarshal(body, &needs), "number of fields")
+		_, err := DecodeFrame(body)
+		assert.ErrorContains(t, err, "number of fields")
+	}
+	var needs task.Needs
+	assert.NilError(t, msgpack.Unmarshal([]byte{0x93, 1, 2, 3}, &needs))
+	assert.Equal(t, needs, task.Needs{CPU: 1, MemoryMB: 2, GPU: 3})
+}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,10 +1,11 @@
 // Package peer carries what entries and agents tell each other: frames of msgpack
 // over TCP, each with the stamps on which leases rest.
 //
-// Structs are encoded as arrays: the order of their fields is the format, and so is
-// their number. The decoder refuses an array of another length, so that no struct can get
-// a field while processes of the version before are up (docs/open.md).
-// testdata/frames.golden holds the bytes.
+// Structs are encoded as maps from the names of their fields to those that are not empty.
+// A receiver skips names that it does not know, so that a struct can get a field while
+// processes of the version before are up; docs/design/frames.md says why it is done so.
+// testdata/frames.golden holds the bytes. Frames of the version before are arrays:
+// array.go decodes them.
 package peer
 
 import (
@@ -54,6 +55,9 @@
 	Stops           []task.Ref
 	UsedReservation uint64
 	RoomRequest     *RoomRequest
+	// Watch begins or ends the entry's watch of the target, on a connection of
+	// LevelWatch: only entries that watch are told of each change of its room.
+	Watch Watch
 
 	// From an agent: the state of its target, how runs ended, and room that it
 	// reserves for the receiver.
@@ -80,8 +84,35 @@
 	// Introduce says that the sender only makes itself known: the receiver connects
 	// to it, and this connection closes.
 	Introduce bool
+	// Level is the newest revision of the exchange that the sender understands; the
+	// version that did not say so has LevelBase.
+	Level Level
 }
 
+// Level is a revision of what entries and agents may ask of each other. Both sides of a
+// connection keep to the lower one of theirs.
+type Level int
+
+// Levels.
+const (
+	// LevelBase has a heartbeat each HeartbeatInterval in both directions, all states,
+	// and the spec in each order.
+	LevelBase Level = iota
+	// LevelWatch has entries watch the agents that they use; the other connections
+	// carry a heartbeat each IdleHeartbeatInterval. A job's spec goes to an agent once.
+	LevelWatch
+)
+
+// Watch is a change of an entry's watch of a target.
+type Watch uint8
+
+// Changes of a watch.
+const (
+	WatchUnchanged Watch = iota
+	WatchBegins
+	WatchEnds
+)
+
 // RoomRequest tells an agent that tasks wait at the sender, which wants room reserved
 // for them.
 type RoomRequest struct {
@@ -163,7 +194,7 @@
 
 // AppendFrame appends f with its length prefix to buf.
 func AppendFrame(buf []byte, f *Frame) ([]byte, error) {
-	return framing.Append(buf, maxFrame, f)
+	return framing.Append(buf, maxFrame, framing.Maps, f)
 }
 
 // ReadFrame reads one frame. Its size is checked before memory is allocated.
@@ -175,8 +206,12 @@
 	return DecodeFrame(body)
 }
 
-// DecodeFrame decodes a frame without its length prefix.
+// DecodeFrame decodes a frame without its length prefix, of this version or of the one
+// before.
 func DecodeFrame(body []byte) (*Frame, error) {
+	if isArray(body) {
+		return decodeArray(body)
+	}
 	f := new(Frame)
 	if err := msgpack.Unmarshal(body, f); err != nil {
 		return nil, fmt.Errorf("peer: decode: %w", err)
--- /dev/null
+++ b/peer/spec_test.go
@@ -0,0 +1,25 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBothSidesRememberTheSameSpecs: a job of the last keptSpecs is found, an earlier one
+// is not.
+func TestBothSidesRememberTheSameSpecs(t *testing.T) {
+	var s Specs
+	const jobs = 3 * keptSpecs
+	for k := range jobs {
+		s.Add(fmt.Sprint(k), fmt.Sprint("spec ", k))
+	}
+	for k := range jobs {
+		spec, ok := s.Find(fmt.Sprint(k))
+		assert.Equal(t, ok, k >= jobs-keptSpecs, "job %d", k)
+		if ok {
+			assert.Equal(t, spec, fmt.Sprint("spec ", k))
+		}
+	}
+}
--- a/supervisor/reservation.go
+++ b/supervisor/reservation.go
@@ -103,7 +103,7 @@
 func (s *Supervisor) mostUrgent(now time.Duration) *session {
 	free := s.freeRoom(now, nil)
 	var first *session
-	for _, c := range s.sortedSessions() {
+	for _, c := range s.ordered {
 		if c.roomRequest == nil || c.out.Reservation != nil || !c.roomRequest.needs.Fits(free) || !s.leased(now, c) {
 			continue
 		}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -65,7 +65,8 @@
 // takeOrder begins a run that an entry ordered, or rejects it.
 func (s *Supervisor) takeOrder(now time.Duration, c *session, order task.Order) {
 	name := order.Task.String()
-	if why := s.rejection(now, c, order, name); why != code.OK {
+	complete := c.completeSpec(&order)
+	if why := s.rejection(now, c, order, name, complete); why != code.OK {
 		s.logOrderRejected(now, c, order, why)
 		c.reportEnd(order, peer.Ended{End: task.EndRejected, Reason: why, TargetFault: true})
 		return
@@ -75,17 +76,35 @@
 		r.endBy = now + order.TimeLeft
 	}
 	s.runs[name] = r
+	c.runs++
 	s.room.used = s.room.used.Plus(order.Needs)
 	s.markChanged()
 	r.probe = s.health.recordStart(now)
 	s.sendStart(now, r)
 }
 
+// completeSpec puts the job's spec into an order that leaves it out, and remembers the one
+// of an order that has it. It reports whether the spec is known.
+func (c *session) completeSpec(order *task.Order) bool {
+	if c.level < peer.LevelWatch {
+		return true
+	}
+	if !order.SpecKept {
+		c.specs.Add(order.Task.Job, order.Spec)
+		return true
+	}
+	spec, known := c.specs.Find(order.Task.Job)
+	order.Spec = spec
+	return known
+}
+
 // rejection decides whether an order is taken: code.OK, or why not. The entry's
 // lease comes first, since an order under an old one may belong to a run that was
 // stopped already.
-func (s *Supervisor) rejection(now time.Duration, c *session, order task.Order, name string) code.Code {
+func (s *Supervisor) rejection(now time.Duration, c *session, order task.Order, name string, complete bool) code.Code {
 	switch {
+	case !complete:
+		return code.RunSpecUnknown
 	case !s.leased(now, c):
 		return code.RunStaleOwner
 	case !s.accepting(now):
@@ -241,6 +260,7 @@
 // ordered it is still there.
 func (s *Supervisor) finish(now time.Duration, r *run, end task.End, why code.Code) {
 	delete(s.runs, r.name)
+	r.session.runs--
 	s.room.used = s.room.used.Minus(r.order.Needs)
 	if r.stopping {
 		s.ObserveStage.Observe(stage.Ending, now-r.stoppedAt)
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -1,7 +1,7 @@
 package supervisor
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,8 +22,15 @@
 
 // session is one connection of an entry.
 type session struct {
-	id   ConnID
-	name string // of the entry
+	id    ConnID
+	name  string     // of the entry
+	level peer.Level // that the entry understands
+	// watching says that the entry watches the target, and watchedSince since when.
+	watching     bool
+	watchedSince time.Duration
+	heardAt      time.Duration // when the last frame came
+	runs         int           // ordered on this connection, whose end is not certain
+	specs        peer.Specs    // of jobs
 	// leaseFrom is the latest of this agent's own stamps that the entry has sent
 	// back: its lease counts from there.
 	leaseFrom time.Duration
@@ -31,8 +38,8 @@
 	// roomRequest is what the entry wants, nil where nothing waits there.
 	roomRequest *roomRequest
 
-	profile      *peer.Profile // that it was sent last
-	stateChanged bool          // since the state was sent last
+	told         essentials // that it was sent last
+	stateChanged bool       // since the state was sent last
 	stateSentAt  time.Duration
 	sentAt       time.Duration // when the last frame was sent
 
@@ -52,19 +59,41 @@
 	return now-c.leaseFrom <= s.Rules.OwnerLease
 }
 
-// Connected records a new connection of an entry. It replaces an earlier one of the
-// same entry, whose end may not have been noticed yet.
-func (s *Supervisor) Connected(now time.Duration, id ConnID, name string) {
+// used reports whether the connection is in use: its entry watches the target, or has
+// runs here. One that understands no watches uses it always.
+func (c *session) used() bool {
+	return c.level < peer.LevelWatch || c.watching || c.runs > 0
+}
+
+// toldAll reports whether the entry is told of each change of the target's room.
+func (c *session) toldAll() bool {
+	return c.level < peer.LevelWatch || c.watching
+}
+
+// Connected records a new connection of an entry, which understands the given level. It
+// replaces an earlier one of the same entry, whose end may not have been noticed yet. The
+// entry is told of this agent's level.
+func (s *Supervisor) Connected(now time.Duration, id ConnID, name string, level peer.Level) {
 	defer s.flush(now)
-	for _, c := range s.sortedSessions() {
+	for _, c := range slices.Clone(s.ordered) {
 		if c.name == name {
 			s.disconnect(now, c)
 		}
 	}
-	s.sessions[id] = &session{id: id, name: name, leaseFrom: now, stateChanged: true, stateSentAt: -time.Hour}
+	c := &session{id: id, name: name, level: level, leaseFrom: now, heardAt: now, stateChanged: true, stateSentAt: -time.Hour}
+	c.out.Hello = &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelWatch}
+	s.sessions[id] = c
+	s.ordered = append(s.ordered, c)
+	slices.SortFunc(s.ordered, func(a, b *session) int { return cmp.Compare(a.id, b.id) })
 	s.logEntryConnected(name, id)
 }
 
+// SilentTooLong reports whether a connection should be given up.
+func (s *Supervisor) SilentTooLong(now time.Duration, id ConnID) bool {
+	c := s.sessions[id]
+	return c != nil && peer.SilentTooLong(now, c.heardAt, c.used(), c.watchedSince)
+}
+
 // Disconnected records the end of a connection and stops its runs.
 func (s *Supervisor) Disconnected(now time.Duration, id ConnID) {
 	defer s.flush(now)
@@ -76,6 +105,7 @@
 // disconnect ends a session: its runs are stopped, its reservations dropped.
 func (s *Supervisor) disconnect(now time.Duration, c *session) {
 	delete(s.sessions, c.id)
+	s.ordered = slices.DeleteFunc(s.ordered, func(o *session) bool { return o == c })
 	stopped := 0
 	for _, r := range s.sortedRuns() {
 		if r.session != c {
@@ -99,6 +129,8 @@
 	}
 	c.leaseFrom = max(c.leaseFrom, f.Echo)
 	c.seenSeq = f.Seq
+	c.heardAt = now
+	c.setWatch(now, f.Watch)
 	delete(s.room.reservations, f.UsedReservation)
 	for _, order := range f.Starts {
 		s.takeOrder(now, c, order)
@@ -115,7 +147,17 @@
 	s.reserveRoom(now)
 }
 
-// sortedSessions returns the sessions by id, so that histories repeat exactly.
-func (s *Supervisor) sortedSessions() []*session {
-	return slices.SortedFunc(maps.Values(s.sessions), func(a, b *session) int { return int(a.id) - int(b.id) })
+// setWatch begins or ends the entry's watch. One that begins is told the state at once;
+// one that ends wants no room any more.
+func (c *session) setWatch(now time.Duration, w peer.Watch) {
+	switch w {
+	case peer.WatchBegins:
+		c.watching = true
+		c.watchedSince = now
+		c.stateChanged = true
+		c.stateSentAt = now - time.Hour
+	case peer.WatchEnds:
+		c.watching = false
+		c.roomRequest = nil
+	}
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -96,6 +96,7 @@
 
 	runs     map[string]*run // by the name that the target knows
 	sessions map[ConnID]*session
+	ordered  []*session // the same, by id
 	// orphanRuns counts, by entry, the runs that were ordered by an earlier
 	// connection and whose end is not certain yet.
 	orphanRuns map[string]int
@@ -157,4 +158,5 @@
 		s.announceHealth()
 	}
 	s.reserveRoom(now)
+	s.checkEssentials(now)
 }
--- a/task/job.go
+++ b/task/job.go
@@ -219,6 +219,9 @@
 	// Run numbers the task's starts, rising from 1.
 	Run  int
 	Spec string
+	// SpecKept says that Spec is left out: an earlier order of the job had it, and the
+	// agent remembers it.
+	SpecKept bool
 	// Needs is what the run takes of the target.
 	Needs Needs
 	// Estimate is how long the run is likely to take on a target of speed 1, Guess
--- a/testutil/fleet/link.go
+++ b/testutil/fleet/link.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/peer"
@@ -22,22 +23,21 @@
 	cut     time.Duration // until when nothing passes
 	toE     time.Duration // when the last frame to the entry arrives
 	toA     time.Duration
-	echoE   time.Duration // the agent's latest stamp, at the entry
+	echoE   peer.Echo // the agent's latest stamp, at the entry
 	echoA   time.Duration
 	sentAt  time.Duration
-	heardE  time.Duration
-	heardA  time.Duration
 	seq     uint64
 }
 
-// linkOf returns the link between an entry and an agent.
-func (w *World) linkOf(entry, agent string) *link {
-	for _, l := range w.links {
-		if l.e.name == entry && l.a.name == agent {
-			return l
-		}
+// pair names an entry and an agent.
+type pair struct{ entry, agent string }
+
+// level returns what both sides understand.
+func (l *link) level() peer.Level {
+	if slices.Index(l.w.entries, l.e) < l.w.cfg.OldEntries || slices.Index(l.w.agents, l.a) < l.w.cfg.OldAgents {
+		return peer.LevelBase
 	}
-	return nil
+	return peer.LevelWatch
 }
 
 // arrival returns when something sent now arrives, after what was sent before.
@@ -71,8 +71,7 @@
 	id := supervisor.ConnID(w.conns)
 	incarnationE, incarnationA := l.e.incarnation, l.a.incarnation
 	l.openE = true
-	l.echoE, l.echoA, l.seq = 0, 0, 0
-	l.heardE = w.now()
+	l.echoE, l.echoA, l.seq = peer.Echo{}, 0, 0
 	l.e.do(incarnationE, func() {
 		if !l.openE {
 			return
@@ -84,8 +83,7 @@
 		l.a.do(incarnationA, func() {
 			l.id = id
 			l.openA = true
-			l.heardA = w.now()
-			l.a.supervisor.Connected(w.now(), id, l.e.name)
+			l.a.supervisor.Connected(w.now(), id, l.e.name, l.level())
 			l.watchA(id, incarnationA)
 		})
 	})
@@ -99,7 +97,7 @@
 			if !l.openE {
 				return
 			}
-			if l.w.now()-l.heardE > l.w.cfg.Silence {
+			if !l.w.cfg.Lasting && l.e.owner.SilentTooLong(l.w.now(), l.a.name) {
 				l.closeE()
 				l.w.after(l.arrival(&l.toA), func() { l.a.do(l.a.incarnation, func() { l.closeA(id) }) })
 				return
@@ -116,7 +114,7 @@
 			if l.id != id || !l.openA {
 				return
 			}
-			if l.w.now()-l.heardA > l.w.cfg.Silence {
+			if !l.w.cfg.Lasting && l.a.supervisor.SilentTooLong(l.w.now(), id) {
 				l.closeA(id)
 				return
 			}
@@ -170,7 +168,7 @@
 	l.seq++
 	l.sentAt = l.w.now()
 	sent := *f
-	sent.Seq, sent.Stamp, sent.Echo = l.seq, l.w.now(), l.echoE
+	sent.Seq, sent.Stamp, sent.Echo = l.seq, l.w.now(), l.echoE.At(l.e.tickedAt)
 	l.w.sent(l.e.name, &sent)
 	incarnation := l.a.incarnation
 	conn := l.w.conns
@@ -179,7 +177,6 @@
 			if !l.openA || uint64(l.id) > conn {
 				return
 			}
-			l.heardA = l.w.now()
 			l.echoA = max(l.echoA, sent.Stamp)
 			l.a.supervisor.Receive(l.w.now(), l.id, &sent)
 			l.a.scheduleFlush()
@@ -195,6 +192,9 @@
 	}
 	sent := *f
 	sent.Stamp, sent.Echo = l.w.now(), l.echoA
+	if l.level() < peer.LevelWatch {
+		sent.Hello = nil // the version before neither says its level nor looks at it
+	}
 	l.w.sent(l.a.name, &sent)
 	incarnation, id := l.e.incarnation, l.id
 	l.w.after(l.arrival(&l.toE), func() {
@@ -202,8 +202,7 @@
 			if !l.openE || l.id != id {
 				return
 			}
-			l.heardE = l.w.now()
-			l.echoE = max(l.echoE, sent.Stamp)
+			l.echoE.Observe(l.w.now(), sent.Stamp)
 			l.e.owner.Receive(l.w.now(), l.a.name, &sent)
 		})
 	})
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -38,8 +38,9 @@
 // entryProcess is an entry with its callers.
 type entryProcess struct {
 	process
-	owner   *owner.Owner
-	clients map[string]*client
+	owner    *owner.Owner
+	clients  map[string]*client
+	tickedAt time.Duration // when the last tick was
 }
 
 // newEntry returns entry k in its first incarnation.
@@ -59,14 +60,16 @@
 	}
 	e.owner = owner.NewOwner(e.w.cfg.Log.With("node", e.name))
 	e.owner.ClearTime = e.w.cfg.Clear
-	e.owner.Send = func(agent string, f *peer.Frame) uint64 { return e.w.linkOf(e.name, agent).fromEntry(f) }
+	e.owner.Random = e.w.choice.IntN
+	e.owner.Send = func(agent string, f *peer.Frame) uint64 { return e.w.linkOf[pair{e.name, agent}].fromEntry(f) }
 	incarnation := e.incarnation
 	var tick func()
 	tick = func() {
 		e.do(incarnation, func() {
 			now := e.w.now()
+			e.tickedAt = now
 			e.owner.Tick(now)
-			e.owner.Heartbeats(now, now-beatInterval)
+			e.owner.Heartbeats(now)
 			e.w.after(owner.TickInterval, tick)
 		})
 	}
@@ -100,6 +103,7 @@
 	flushing       bool
 	renewingBeside bool // a second hold is kept under way
 	target         *emulatedTarget
+	links          []*link
 	seq            uint64
 }
 
@@ -135,8 +139,8 @@
 	s.Rules = a.w.cfg.Rules
 	a.supervisor = s
 	s.Send = func(id supervisor.ConnID, f *peer.Frame) {
-		for _, l := range a.w.links {
-			if l.a == a && l.id == id {
+		for _, l := range a.links {
+			if l.id == id {
 				l.fromAgent(f)
 			}
 		}
@@ -161,7 +165,7 @@
 	a.do(incarnation, func() {
 		now := a.w.now()
 		a.supervisor.Tick(now)
-		a.supervisor.Heartbeats(now, now-beatInterval)
+		a.supervisor.Heartbeats(now)
 		a.scheduleFlush()
 		if now < a.w.cfg.Length && a.target.behaviour == (Behaviour{}) && a.supervisor.Stats(now).Ejected > 0 {
 			a.w.SoundEjected += supervisor.TickInterval
--- a/testutil/fleet/scene.go
+++ b/testutil/fleet/scene.go
@@ -32,6 +32,7 @@
 const (
 	smallFleet, smallEntries = 11, 3
 	largeFleet, largeEntries = 40, 12
+	hugeFleet, hugeEntries   = 240, 55
 )
 
 // troubleAt is when a scene's trouble begins.
@@ -74,6 +75,11 @@
 	return Scene{Name: name, Load: load, Entries: largeEntries, Agents: largeFleet, Trouble: trouble}
 }
 
+// huge returns a scene on the largest fleet.
+func huge(name string, load float64, trouble func(*World)) Scene {
+	return Scene{Name: name, Load: load, Entries: hugeEntries, Agents: hugeFleet, Trouble: trouble}
+}
+
 // shaped returns the scene with a change of its jobs' shape.
 func (s Scene) shaped(name string, change func(*Shape)) Scene {
 	s.Name = name
@@ -116,6 +122,8 @@
 		large("high load, large", 0.85, nil),
 		small("burst", 0.75, surge(1.8)),
 		large("burst, large", 0.75, surge(1.8)),
+		huge("high load, huge", 0.85, nil),
+		huge("burst, huge", 0.75, surge(1.8)),
 		small("late orders", 0.75, behaving(smallFleet, Behaviour{Late: 0.06}, 2*four)),
 		small("lost answers", 0.75, behaving(smallFleet, Behaviour{Lost: 0.06}, 2*four)),
 		small("all killed", 0.75, from((*World).KillAll)),
