A spec goes to one agent, and on to the others from there; the link's queue is bounded

Cause: on the small twins an entry has 2 Mbit/s, a spec 1,200 bytes, and a job's tasks lie on many agents: half of the first starts came after 32 ms, one in twenty after 115 ms. Past the link's rate everything collapsed: orders, stops and heartbeats came late, and leases ran out.

Change: the settings tell an entry its link's rate (link_mbps; not set: as before). Where sending a spec once more takes longer than an agent needs to get it from another one (3 ms), the order names an agent that has it. That order holds its room for 150 ms at the most and is rejected, as not run, where the spec does not come. A job whose orders would wait 40 ms for the link is refused at once with 810, its caller asked to come back one after the other. Requests for room are fewer on narrow links. The emulator has links with a rate and specs of a length, and checks that each start has the spec of its job.

--- a/code/code.go
+++ b/code/code.go
@@ -118,6 +118,7 @@
 	JobUnsupported  Code = 807
 	JobNoConfig     Code = 808
 	JobBehind       Code = 809
+	JobLinkFull     Code = 810
 	RunMovedEjected Code = 811
 	RunMovedOverdue Code = 812
 	TargetFails     Code = 821
--- a/code/table.go
+++ b/code/table.go
@@ -93,6 +93,7 @@
 	{JobUnsupported, "job-unsupported", http.StatusServiceUnavailable, "A kind of job that is not taken yet."},
 	{JobNoConfig, "job-no-config", http.StatusServiceUnavailable, "The entry has no configuration yet."},
 	{JobBehind, "job-behind", http.StatusServiceUnavailable, "No task was started, and the jobs before it leave no room in time."},
+	{JobLinkFull, "job-link-full", http.StatusServiceUnavailable, "The entry's link has too much queued."},
 	{RunMovedEjected, "run-moved-ejected", http.StatusOK, "The target was ejected: the run is retried elsewhere."},
 	{RunMovedOverdue, "run-moved-overdue", http.StatusOK, "The run is far past its likely time: it is retried elsewhere."},
 	{TargetFails, "target-fails", http.StatusOK, "Runs of several jobs failed there that had not failed elsewhere."},
--- a/node/agent.go
+++ b/node/agent.go
@@ -49,6 +49,7 @@
 	documentRequest documentRequest
 	flushScheduled  bool
 	pause           pause
+	specs           specWaiters
 }
 
 // agentConn is a connection of an entry.
@@ -78,6 +79,7 @@
 	a.supervisor.Start = func(c supervisor.StartCall) { go a.start(c) }
 	a.supervisor.Stop = func(c supervisor.StopCall) { go a.stopRun(c) }
 	a.supervisor.Send = a.send
+	a.supervisor.FetchSpec = func(job, addr string) { go a.fetchSpec(job, addr) }
 	a.supervisor.ObserveStage = func(s stage.Stage, took time.Duration) { a.stages[s].Update(took.Seconds()) }
 	return a
 }
@@ -167,6 +169,10 @@
 	watchdog := time.AfterFunc(peer.Silence, func() { c.CloseFor(errSilent) })
 	f, err := c.Receive()
 	watchdog.Stop()
+	if err == nil && f.AskSpec != "" {
+		a.giveSpec(c, f.AskSpec)
+		return
+	}
 	if err != nil || f.Hello == nil || f.Hello.Role != peer.RoleEntry {
 		return // not an entry, or one that has gone: it connects again
 	}
@@ -222,6 +228,7 @@
 	now := a.clock.now()
 	a.passDocument(now, id, f)
 	a.supervisor.Receive(now, id, f)
+	a.specs.arrived(f)
 	a.scheduleFlush()
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -89,6 +89,8 @@
 	e.owner.ObserveStage = func(s stage.Stage, took time.Duration) { e.stages[s].Update(took.Seconds()) }
 	e.owner.CountAnswer = e.CountAnswer
 	e.owner.FarFactor = s.Far
+	e.owner.Addr = e.addr
+	e.owner.SetLink(s.LinkMbps)
 	return e
 }
 
--- a/node/link.go
+++ b/node/link.go
@@ -135,7 +135,7 @@
 	l.conn = c
 	l.echo = peer.Echo{}
 	e.linked.Add(1)
-	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers, Level: peer.LevelWatch}
+	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers, Level: peer.LevelNewest}
 	l.sentAt = e.clock.now()
 	c.Send(&peer.Frame{Hello: hello, Stamp: l.sentAt})
 	e.owner.Connected(l.sentAt, l.registration.Name)
@@ -192,6 +192,14 @@
 	}
 }
 
+// addr returns the address of an agent. It is called with the lock held.
+func (e *Entry) addr(agent string) string {
+	if l := e.links[agent]; l != nil {
+		return l.registration.Addr
+	}
+	return ""
+}
+
 // accept takes the connection of an agent that introduces itself, and closes it.
 func (e *Entry) accept(ctx context.Context, raw net.Conn) {
 	defer raw.Close()
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -245,6 +245,7 @@
 		a.out = peer.Frame{}
 		a.dirty = false
 		a.sentAt = now
+		o.link.add(now, frameBytes)
 		seq := o.Send(a.name, &f)
 		for k := range a.pending {
 			if a.pending[k].seq == 0 {
--- a/owner/job.go
+++ b/owner/job.go
@@ -71,8 +71,9 @@
 	// task was sent; zero: none yet.
 	firstOrder, lastOrder time.Duration
 	// orders counts the orders that may have reached a target.
-	orders   int
-	failedAt []string // the agents at which a run of it has failed
+	orders    int
+	specAgent string   // the agent that the spec was sent to last
+	failedAt  []string // the agents at which a run of it has failed
 
 	queue *queue // the queue of its service
 	index int    // in the queue's heap, -1 while it is not in it
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 //	watch.go       which agents this entry uses
 //	reservation.go which agents are asked for room
 //	refusal.go     when a job is refused or given up
+//	spec.go        what orders say of a job's spec
 //	comeback.go    when the caller of a job that was not done should come back
 //	retry.go       when a run is stopped, and when and where its task runs again
 //	estimates.go   how long the tasks of a job are likely to take
@@ -68,6 +69,8 @@
 	ClearTime time.Duration
 	// FarFactor is how many times as long a task takes away from its data.
 	FarFactor float64
+	// Addr returns the address at which an agent takes connections of other agents.
+	Addr func(agent string) string
 	// Random returns a random number from 0 to below n.
 	Random func(n int) int
 
@@ -87,6 +90,8 @@
 	// must not start if it is submitted again.
 	uncertainUntil map[string]time.Duration
 
+	link uplink
+
 	callers uint64 // the last number given to a caller
 	stats   Stats
 }
@@ -147,8 +152,8 @@
 	o.lastJobAt = now
 	j := o.jobs[spec.ID]
 	if j == nil {
-		if why := admit(len(o.jobs)); why != code.OK {
-			o.rejectJob(spec, why, answer)
+		if why := admit(len(o.jobs), o.linkDelay(now, spec)); why != code.OK {
+			o.rejectJob(now, spec, why, answer)
 			return o.callers
 		}
 		j = o.accept(now, spec)
@@ -160,11 +165,15 @@
 }
 
 // rejectJob answers a job for which nothing was allocated.
-func (o *Owner) rejectJob(spec task.Job, why code.Code, answer func(Answer)) {
+func (o *Owner) rejectJob(now time.Duration, spec task.Job, why code.Code, answer func(Answer)) {
 	o.stats.Refused++
 	o.logRejectedJob(spec, why)
 	o.countAnswer(why)
-	answer(Answer{Kind: Refused, Why: why, Retry: RetryAfter})
+	retry := RetryAfter
+	if why == code.JobLinkFull {
+		retry = o.link.comeBackAfter(now, spec)
+	}
+	answer(Answer{Kind: Refused, Why: why, Retry: retry})
 }
 
 // accept makes spec a job of this entry and queues it.
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -216,18 +216,6 @@
 	if j.callerDeadline > 0 {
 		order.TimeLeft = j.callerDeadline - now
 	}
-	if a.level >= peer.LevelWatch {
-		a.leaveOutSpec(&order)
-	}
+	o.leaveOutSpec(now, j, &order, a)
 	return order
 }
-
-// leaveOutSpec leaves the job's spec out of an order where the agent remembers it.
-func (a *agent) leaveOutSpec(order *task.Order) {
-	if _, kept := a.specs.Find(order.Task.Job); kept {
-		order.Spec = ""
-		order.SpecKept = true
-		return
-	}
-	a.specs.Add(order.Task.Job, "") // the agent keeps the text
-}
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -21,6 +21,10 @@
 	// requestPause is after how long one more is asked: a few round trips. Four scenes, 8
 	// seeds, worst class and frames a run: 1 ms 0.913 8.1, 3 ms 0.919 7.8, 5 ms 0.908 7.8.
 	requestPause = 3 * time.Millisecond
+	// requestLinkShare is how many times as long as a request takes on this host's link
+	// the pause is at the least: on narrow links requests leave room for orders. Not
+	// measured alone.
+	requestLinkShare = 10
 )
 
 // requestRoom asks agents of a queue's service to reserve room for its first job: a few
@@ -45,13 +49,22 @@
 			a.addRoomRequest(now, q, j, step)
 		}
 	}
-	limit := requestsPerTask*q.waitingTasks(len(o.byName)) + int((now-q.backlogSince)/requestPause)
-	for _, a := range o.toAsk(now, q.service, j, step, limit-asked) {
+	for _, a := range o.toAsk(now, q.service, j, step, o.requestLimit(now, q)-asked) {
 		o.beginWatch(now, a)
 		a.addRoomRequest(now, q, j, step)
 	}
 }
 
+// requestLimit returns how many agents may hold a request at once.
+func (o *Owner) requestLimit(now time.Duration, q *queue) int {
+	perTask := requestsPerTask
+	if o.link.delay(now, 0) >= relayTime {
+		perTask = 1
+	}
+	pause := max(requestPause, requestLinkShare*o.link.takes(frameBytes))
+	return perTask*q.waitingTasks(len(o.byName)) + int((now-q.backlogSince)/pause)
+}
+
 // toAsk returns up to count agents to ask for room: watched ones that are believed to have
 // some, those first on which the task is likely to end first; then others that are not
 // watched, as long as more may be; then the rest. Agents of the version before are asked
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -158,6 +158,7 @@
 	}
 	if why == code.RunSpecUnknown {
 		a.specs = peer.Specs{} // the next order has it
+		j.specAgent = ""
 	}
 	if why == code.RunOld {
 		t.run *= 2 // the target has seen a run with this number or a higher one
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -12,9 +12,10 @@
 )
 
 func TestAdmission(t *testing.T) {
-	assert.Equal(t, admit(0), code.OK)
-	assert.Equal(t, admit(maxJobs-1), code.OK)
-	assert.Equal(t, admit(maxJobs), code.QueueFull)
+	assert.Equal(t, admit(0, 0), code.OK)
+	assert.Equal(t, admit(maxJobs-1, maxLinkDelay), code.OK)
+	assert.Equal(t, admit(maxJobs, 0), code.QueueFull)
+	assert.Equal(t, admit(0, maxLinkDelay+1), code.JobLinkFull)
 }
 
 // TestOrder shows which of two jobs is served first. Unless a case says otherwise a
--- a/peer/array_test.go
+++ b/peer/array_test.go
@@ -51,7 +51,7 @@
 		assert.Equal(t, old.UsedReservation, g.frame.UsedReservation)
 		assert.Equal(t, len(old.Starts), len(g.frame.Starts))
 		for k, o := range g.frame.Starts {
-			o.SpecKept = false // the version before is never sent such an order
+			o.SpecKept, o.SpecAt = false, "" // the version before is never sent such an order
 			assert.Equal(t, old.Starts[k].order(), o)
 		}
 		assert.DeepEqual(t, old.Ended, g.frame.Ended)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// Write writes bytes at once, within a time. It is for connections without Run.
+func (c *Conn) Write(bytes []byte, within time.Duration) error {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	_, err := c.raw.Write(bytes)
+	return err
+}
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.CloseFor(nil)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -59,6 +59,10 @@
 	// LevelWatch: only entries that watch are told of each change of its room.
 	Watch Watch
 
+	// From an agent to another one: the job whose spec it needs, and the answer.
+	AskSpec  string
+	GiveSpec *GivenSpec
+
 	// From an agent: the state of its target, how runs ended, and room that it
 	// reserves for the receiver.
 	State       *State
@@ -101,6 +105,11 @@
 	// LevelWatch has entries watch the agents that they use; the other connections
 	// carry a heartbeat each IdleHeartbeatInterval. A job's spec goes to an agent once.
 	LevelWatch
+	// LevelRelay has agents hand specs to each other: an order may name an agent that
+	// has the spec in place of the text.
+	LevelRelay
+	// LevelNewest is what this version understands.
+	LevelNewest = LevelRelay
 )
 
 // Watch is a change of an entry's watch of a target.
@@ -113,6 +122,13 @@
 	WatchEnds
 )
 
+// GivenSpec is an agent's answer to another one that needs a spec.
+type GivenSpec struct {
+	// Known says that the agent has the spec.
+	Known bool
+	Spec  string
+}
+
 // RoomRequest tells an agent that tasks wait at the sender, which wants room reserved
 // for them.
 type RoomRequest struct {
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -23,7 +23,7 @@
 		Hello: &Hello{Role: RoleEntry, Name: "edge-1", Addr: "127.0.0.1:1", Level: LevelWatch}, Document: []byte("{}"), AskDocument: true,
 		Starts: []task.Order{{Task: id, Run: 2, Spec: "text", Needs: task.Needs{CPU: 1, MemoryMB: 2, GPU: 3}, Estimate: 4, Guess: 5}},
 		Stops:  []task.Ref{{Task: id, Run: 1}}, UsedReservation: 9, RoomRequest: &RoomRequest{Slack: -time.Second},
-		Watch:       WatchBegins,
+		Watch: WatchBegins, AskSpec: "5c0e7a21d94b36f8", GiveSpec: &GivenSpec{Known: true, Spec: "text"},
 		State:       &State{Profile: &Profile{Target: "i-1", Labels: []string{"a"}}, Speed: 1.25, Health: Ejected, Accepting: true, SeenSeq: 8},
 		Ended:       []Ended{{Ref: task.Ref{Task: id, Run: 2}, End: task.EndDone, Reason: code.RunListed, Took: time.Second}},
 		Reservation: &Reservation{ID: 1},
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -53,6 +53,11 @@
 		{"entry: starts, the spec is kept there", with(func(f *Frame) {
 			f.Starts = []task.Order{{Task: id, Run: 1, SpecKept: true, Needs: task.Needs{CPU: 1600, MemoryMB: 64}}}
 		})},
+		{"entry: starts, another agent has the spec", with(func(f *Frame) {
+			f.Starts = []task.Order{{Task: id, Run: 1, SpecAt: "10.1.0.30:7720", Needs: task.Needs{CPU: 1600, MemoryMB: 64}}}
+		})},
+		{"agent: asks another one for a spec", &Frame{AskSpec: id.Job}},
+		{"agent: gives a spec to another one", &Frame{GiveSpec: &GivenSpec{Known: true, Spec: "60ms"}}},
 		{"agent: hello", with(func(f *Frame) { f.Hello = &Hello{Role: RoleAgent, Name: "side-mtm-1", Level: LevelWatch} })},
 		{"agent: state", with(func(f *Frame) {
 			f.State = &State{Free: task.Needs{CPU: 3200, MemoryMB: 1024}, Speed: 0.75, Accepting: true, Cleared: true, SeenSeq: 69999}
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,6 +36,9 @@
 	Grace time.Duration `yaml:"grace" validate:"min=1s,max=30m"`
 	// Far is how many times as long a task takes away from its data.
 	Far float64 `yaml:"far" validate:"min=1,max=100"`
+	// LinkMbps is the rate of the host's link, in megabits a second; zero: not known, and
+	// taken to be fast.
+	LinkMbps float64 `yaml:"link_mbps" validate:"min=0"`
 	// Metrics is where counters are served, empty for nowhere.
 	Metrics string `yaml:"metrics" validate:"omitempty,tcp_addr"`
 	// LogLevel is debug, info, warn or error.
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -38,6 +38,9 @@
 	began    time.Duration // when the start was answered; before, when it was ordered
 	endBy    time.Duration // when it is stopped at the latest; zero: never
 	probe    bool          // it began while the target was ejected
+	// awaitsSpecUntil is until when the spec may take to come from another agent; zero
+	// where it is known. Until then no start is sent.
+	awaitsSpecUntil time.Duration
 
 	// deadline is that of the last start sent, on the target's clock: afterwards
 	// no copy of the call can begin the run.
@@ -65,8 +68,8 @@
 // takeOrder begins a run that an entry ordered, or rejects it.
 func (s *Supervisor) takeOrder(now time.Duration, c *session, order task.Order) {
 	name := order.Task.String()
-	complete := c.completeSpec(&order)
-	if why := s.rejection(now, c, order, name, complete); why != code.OK {
+	spec := s.completeSpec(c, &order)
+	if why := s.rejection(now, c, order, name, spec); why != code.OK {
 		s.logOrderRejected(now, c, order, why)
 		c.reportEnd(order, peer.Ended{End: task.EndRejected, Reason: why, TargetFault: true})
 		return
@@ -80,30 +83,19 @@
 	s.room.used = s.room.used.Plus(order.Needs)
 	s.markChanged()
 	r.probe = s.health.recordStart(now)
-	s.sendStart(now, r)
-}
-
-// completeSpec puts the job's spec into an order that leaves it out, and remembers the one
-// of an order that has it. It reports whether the spec is known.
-func (c *session) completeSpec(order *task.Order) bool {
-	if c.level < peer.LevelWatch {
-		return true
-	}
-	if !order.SpecKept {
-		c.specs.Add(order.Task.Job, order.Spec)
-		return true
+	if spec == specElsewhere {
+		s.awaitSpec(now, r)
+		return
 	}
-	spec, known := c.specs.Find(order.Task.Job)
-	order.Spec = spec
-	return known
+	s.sendStart(now, r)
 }
 
 // rejection decides whether an order is taken: code.OK, or why not. The entry's
 // lease comes first, since an order under an old one may belong to a run that was
 // stopped already.
-func (s *Supervisor) rejection(now time.Duration, c *session, order task.Order, name string, complete bool) code.Code {
+func (s *Supervisor) rejection(now time.Duration, c *session, order task.Order, name string, spec specState) code.Code {
 	switch {
-	case !complete:
+	case spec == specUnknown:
 		return code.RunSpecUnknown
 	case !s.leased(now, c):
 		return code.RunStaleOwner
@@ -191,6 +183,10 @@
 	r.stoppedAt = now
 	r.reason = why
 	s.logStopping(now, r)
+	if r.awaitsSpecUntil > 0 {
+		s.finish(now, r, task.EndRejected, why) // no start was sent
+		return
+	}
 	s.sendStop(now, r)
 }
 
@@ -238,6 +234,9 @@
 	if r.endBy > 0 && now >= r.endBy && !r.stopping {
 		s.stop(now, r, code.RunOverLimit)
 	}
+	if s.checkSpec(now, r) {
+		return
+	}
 	if r.stopping {
 		if now-r.sentAt >= stopRetry {
 			s.sendStop(now, r)
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -81,7 +81,7 @@
 		}
 	}
 	c := &session{id: id, name: name, level: level, leaseFrom: now, heardAt: now, stateChanged: true, stateSentAt: -time.Hour}
-	c.out.Hello = &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelWatch}
+	c.out.Hello = &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest}
 	s.sessions[id] = c
 	s.ordered = append(s.ordered, c)
 	slices.SortFunc(s.ordered, func(a, b *session) int { return cmp.Compare(a.id, b.id) })
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,6 +25,7 @@
 //	lease.go        what the target was promised, and what its silence means
 //	session.go      connections of entries, each with a lease of its own
 //	run.go          one run, from its order until its end is certain
+//	spec.go         specs that orders leave out
 //	reservation.go  room: never more in use and reserved than there is
 //	health.go       when the target is ejected, and how it comes back
 //	renewal.go      the lists of the target, which alone tell of ends
@@ -79,6 +80,9 @@
 	// StartAnswered or StopAnswered, at any later time.
 	Start func(StartCall)
 	Stop  func(StopCall)
+	// FetchSpec asks the agent at an address for the spec of a job. The process answers
+	// with SpecFetched.
+	FetchSpec func(job, addr string)
 	// Send sends a frame to an entry.
 	Send func(ConnID, *peer.Frame)
 	// ObserveStage is called with the duration of each stage of a run. May be nil.
--- a/task/job.go
+++ b/task/job.go
@@ -222,6 +222,9 @@
 	// SpecKept says that Spec is left out: an earlier order of the job had it, and the
 	// agent remembers it.
 	SpecKept bool
+	// SpecAt is the address of an agent that has the spec, where it is left out and the
+	// agent that gets the order may not have it; empty: it is not left out so.
+	SpecAt string
 	// Needs is what the run takes of the target.
 	Needs Needs
 	// Estimate is how long the run is likely to take on a target of speed 1, Guess
--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -67,7 +67,7 @@
 	guess = guess/2 + w.upTo(guess)
 	c := &client{w: w, calm: calm, done: make(map[task.ID]bool), failed: make(map[task.ID]int)}
 	c.spec = task.Job{
-		ID: id, Queue: "q", Service: service, Spec: id, Attempts: attempts,
+		ID: id, Queue: "q", Service: service, Spec: w.specOf(id), Attempts: attempts,
 		ObjectiveFactor: 1.6, ObjectiveSlack: 60 * time.Millisecond, CallerTimeout: w.cfg.Patience, Priority: w.rng.IntN(3),
 		Steps: []task.Step{{Count: count, Needs: task.Needs{CPU: 1000 + w.rng.IntN(1000), MemoryMB: 64}, Estimate: guess}},
 	}
--- a/testutil/fleet/link.go
+++ b/testutil/fleet/link.go
@@ -50,6 +50,51 @@
 	return *last - l.w.now()
 }
 
+// arrivalOf returns when a frame to the agent arrives: it waits for the entry's link.
+func (l *link) arrivalOf(f *peer.Frame) time.Duration {
+	l.toA = max(l.toA, l.e.transmit(f))
+	return l.arrival(&l.toA)
+}
+
+// transmit returns when a frame that is sent now has left the entry's link.
+func (e *entryProcess) transmit(f *peer.Frame) time.Duration {
+	const (
+		packet      = 60 // bytes of headers
+		byteSeconds = 8 / 1e6
+	)
+	if e.w.cfg.LinkMbps == 0 {
+		return e.w.now()
+	}
+	buf, err := peer.AppendFrame(nil, f)
+	if err != nil {
+		panic(err) // a frame of the emulator is never too large
+	}
+	takes := float64(len(buf)+packet) * byteSeconds / e.w.cfg.LinkMbps
+	e.linkFree = max(e.w.now(), e.linkFree) + time.Duration(takes*float64(time.Second))
+	return e.linkFree
+}
+
+// fetchSpec asks an agent for a job's spec, which may be on its way there.
+func (w *World) fetchSpec(job, agent string, answer func(spec string, known bool)) {
+	const waits = 120 * time.Millisecond
+	k := slices.IndexFunc(w.agents, func(a *agentProcess) bool { return a.name == agent })
+	from := w.agents[k]
+	until := w.now() + waits
+	var look func()
+	look = func() {
+		spec, known := "", false
+		if !from.dead && w.now() >= from.frozen {
+			spec, known = from.supervisor.Spec(job)
+		}
+		if known || w.now() >= until {
+			w.after(latency, func() { answer(spec, known) })
+			return
+		}
+		w.after(latency, look)
+	}
+	w.after(2*latency, look) // a connection is made first
+}
+
 // dial has the entry connect, and keeps trying.
 func (l *link) dial() {
 	if l.openE || l.dialing {
@@ -187,7 +232,7 @@
 	if l.silentToA {
 		return l.seq
 	}
-	l.w.after(l.arrival(&l.toA), func() {
+	l.w.after(l.arrivalOf(&sent), func() {
 		l.a.do(incarnation, func() {
 			if !l.openA || uint64(l.id) > conn {
 				return
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -41,6 +41,7 @@
 	owner    *owner.Owner
 	clients  map[string]*client
 	tickedAt time.Duration // when the last tick was
+	linkFree time.Duration // when its link has sent all that is queued
 }
 
 // newEntry returns entry k in its first incarnation.
@@ -60,6 +61,8 @@
 	}
 	e.owner = owner.NewOwner(e.w.cfg.Log.With("node", e.name))
 	e.owner.ClearTime = e.w.cfg.Clear
+	e.owner.Addr = func(agent string) string { return agent }
+	e.owner.SetLink(e.w.cfg.LinkMbps)
 	e.owner.Random = e.w.choice.IntN
 	e.owner.Send = func(agent string, f *peer.Frame) uint64 { return e.w.linkOf[pair{e.name, agent}].fromEntry(f) }
 	incarnation := e.incarnation
@@ -151,6 +154,11 @@
 			a.do(incarnation, func() { s.StartAnswered(a.w.now(), c, r); a.scheduleFlush() })
 		})
 	}
+	s.FetchSpec = func(job, addr string) {
+		a.w.fetchSpec(job, addr, func(spec string, known bool) {
+			a.do(incarnation, func() { s.SpecFetched(a.w.now(), job, spec, known); a.scheduleFlush() })
+		})
+	}
 	s.Stop = func(c supervisor.StopCall) {
 		a.target.call(c.Incarnation, orderTimeout, func() supervisor.Reply { return a.target.stop(c) }, func(r supervisor.Reply) {
 			a.do(incarnation, func() { s.StopAnswered(a.w.now(), c, r) })
--- a/testutil/fleet/scene.go
+++ b/testutil/fleet/scene.go
@@ -15,6 +15,9 @@
 	Shape   func(*Shape)
 	Classes func([]Class)
 	Speeds  []float64 // of the targets by turns; nil: as usual
+	// LinkMbps and SpecBytes are as in Config.
+	LinkMbps  float64
+	SpecBytes int
 	// ComeBack is how long callers that were refused come back; zero: never.
 	ComeBack time.Duration
 	// Trouble begins the trouble; Outages says which targets are of no use meanwhile.
@@ -155,6 +158,9 @@
 		slow.with("long work, a target is slow", func(c []Class) { scaleWork(c, 2) }),
 		burst.with("one priority, burst", func(c []Class) { setPriorities(c, 0, 0, 0) }),
 		burst.with("priorities reversed, burst", func(c []Class) { setPriorities(c, 2, 0, 1) }),
+		linked("narrow links", 2),
+		linked("links of half the need", 1),
+		linked("links of a quarter of the need", 0.5),
 		unequal("unequal targets", 0.75, nil),
 		unequal("unequal targets, burst", 0.75, surge(1.8)),
 		small("overload", 1.2, nil),
@@ -172,6 +178,14 @@
 	return s
 }
 
+// linked returns a scene in which entries have narrow links. Sent with each order, specs of
+// 1,200 bytes need some 2 Mbit/s of each.
+func linked(name string, megabits float64) Scene {
+	s := small(name, 0.75, nil)
+	s.LinkMbps, s.SpecBytes = megabits, 1200
+	return s
+}
+
 // scaleWork makes the classes' tasks that many times as long, and their jobs fewer.
 func scaleWork(classes []Class, times float64) {
 	for k := range classes {
@@ -213,6 +227,7 @@
 		cfg.Speeds = s.Speeds
 	}
 	cfg.ComeBack = s.ComeBack
+	cfg.LinkMbps, cfg.SpecBytes = s.LinkMbps, s.SpecBytes
 	w := New(cfg)
 	if s.Trouble != nil {
 		s.Trouble(w)
--- a/testutil/fleet/workload.go
+++ b/testutil/fleet/workload.go
@@ -176,7 +176,7 @@
 		c.lengths = append(c.lengths, time.Duration(float64(work)*w.around(shape.TaskSpread)))
 	}
 	c.spec = task.Job{
-		ID: id, Queue: class.Name, Service: service, Spec: id, Attempts: class.Attempts,
+		ID: id, Queue: class.Name, Service: service, Spec: w.specOf(id), Attempts: class.Attempts,
 		ObjectiveFactor: shape.Stretch, ObjectiveSlack: shape.Slack, Priority: class.Priority,
 		CallerTimeout: 3*c.objective() + 1500*time.Millisecond,
 		Steps:         []task.Step{{Count: count, Needs: task.Needs{CPU: taskCPU, MemoryMB: 64}, Estimate: guess}},
--- a/testutil/fleet/world.go
+++ b/testutil/fleet/world.go
@@ -8,6 +8,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/owner"
@@ -51,6 +52,10 @@
 	// Rules and Clear are the mechanisms under test.
 	Rules supervisor.Rules
 	Clear time.Duration
+	// LinkMbps is the rate of each entry's link, in megabits a second; zero: without
+	// bound. SpecBytes is the length of the jobs' specs.
+	LinkMbps  float64
+	SpecBytes int
 	// OldEntries and OldAgents are how many processes are of the version before, which
 	// knows no watches.
 	OldEntries, OldAgents int
@@ -172,6 +177,11 @@
 	}
 }
 
+// specOf returns the spec of a job.
+func (w *World) specOf(id string) string {
+	return id + strings.Repeat(".", max(0, w.cfg.SpecBytes-len(id)))
+}
+
 // now returns the present virtual time.
 func (w *World) now() time.Duration {
 	return w.queue.Now()
@@ -204,6 +214,9 @@
 		return
 	}
 	c.started = true
+	if r.order.Spec != c.spec.Spec {
+		w.breaks(AskedFor, "%s with another spec", r.name)
+	}
 	c.checkOrder(r.order.Task)
 	used := r.order.Needs
 	for _, o := range e.runs {
