--- /dev/null
+++ b/node/spec_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/settings"
+	"github.com/beaconpoint/beaconpoint/supervisor"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// newSpecAgent returns an agent with the connection of an entry.
+func newSpecAgent() *Agent {
+	calls := TargetCalls{
+		Start: func(supervisor.StartCall) supervisor.Reply { return supervisor.Reply{Outcome: supervisor.NoAnswer} },
+		Stop:  func(supervisor.StopCall) supervisor.Reply { return supervisor.Reply{Outcome: supervisor.NoAnswer} },
+	}
+	a := NewAgent(settings.DefaultNode(), Directory{}, calls, slog.New(slog.DiscardHandler))
+	near, _ := net.Pipe()
+	a.connect(peer.NewConn(near), &peer.Hello{Role: peer.RoleEntry, Name: "edge-1", Level: peer.LevelNewest})
+	return a
+}
+
+// bringSpec has the entry send an order with the spec of a job. The agent knows no target
+// and rejects the order; it keeps the spec.
+func bringSpec(a *Agent, job string) {
+	a.receive(a.lastConn, &peer.Frame{Seq: 1, Starts: []task.Order{{Task: task.ID{Job: job}, Run: 1, Spec: "text"}}})
+}
+
+// TestAnAgentAsksAnotherOneForASpec over one connection each: a spec that is there is given
+// at once, one that is on its way when it comes, and of one that does not come the asker is
+// told.
+func TestAnAgentAsksAnotherOneForASpec(t *testing.T) {
+	for name, c := range map[string]struct {
+		comesAfter time.Duration
+		known      bool
+	}{
+		"there":         {0, true},
+		"on its way":    {specWait / 2, true},
+		"does not come": {time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newSpecAgent()
+				near, far := net.Pipe()
+				go a.accept(t.Context(), far)
+				bring := time.AfterFunc(c.comesAfter, func() { bringSpec(a, "j") })
+				defer bring.Stop()
+				if c.comesAfter == 0 {
+					synctest.Wait()
+				}
+				began := time.Now()
+				buf, err := peer.AppendFrame(nil, &peer.Frame{AskSpec: "j"})
+				assert.NilError(t, err)
+				_, err = near.Write(buf)
+				assert.NilError(t, err)
+				f, err := peer.ReadFrame(near)
+				assert.NilError(t, err)
+				assert.Equal(t, f.GiveSpec.Known, c.known)
+				if c.known {
+					assert.Equal(t, f.GiveSpec.Spec, "text")
+				}
+				assert.Equal(t, time.Since(began), min(c.comesAfter, specWait))
+				_, err = peer.ReadFrame(near)
+				assert.Assert(t, err != nil, "the connection ends")
+				near.Close()
+			})
+		})
+	}
+}
+
+// TestAnAgentThatCannotBeAsked: the error says why.
+func TestAnAgentThatCannotBeAsked(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	_, known, err := askSpec("j", addr)
+	assert.Assert(t, !known)
+	var refused *net.OpError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+}
--- /dev/null
+++ b/owner/watch_test.go
@@ -0,0 +1,146 @@
+package owner
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// newWatchBench returns an owner that is connected to agents of this version, of which it
+// knows nothing but what they say to who does not watch.
+func newWatchBench(t *testing.T, agents int) *bench {
+	t.Helper()
+	b := newBench(t)
+	b.Addr = func(agent string) string { return "addr of " + agent }
+	b.Random = func(n int) int { return n / 2 }
+	for k := range agents {
+		name := fmt.Sprintf("side-%03d", k)
+		b.Connected(b.now, name)
+		b.Receive(b.now, name, &peer.Frame{Hello: &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest}})
+		b.state(name, 4000, 1, peer.Healthy)
+	}
+	return b
+}
+
+// requested returns the agents that were asked for room.
+func (b *bench) requested() []string {
+	var list []string
+	for _, a := range b.byName {
+		if a.roomRequested {
+			list = append(list, a.name)
+		}
+	}
+	return list
+}
+
+// reserve has an agent reserve room.
+func (b *bench) reserve(agent string, cpu int) {
+	b.Receive(b.now, agent, &peer.Frame{Reservation: &peer.Reservation{ID: 1, Room: task.Needs{CPU: cpu, MemoryMB: 100}}})
+}
+
+// TestAFewAgentsAreAskedForRoom: two for the task that waits, and more while nobody
+// answers; each of them is watched.
+func TestAFewAgentsAreAskedForRoom(t *testing.T) {
+	b := newWatchBench(t, 100)
+	b.submit(jobOf("j", 1))
+	assert.Equal(t, len(b.requested()), requestsPerTask)
+	assert.Equal(t, len(b.watched), requestsPerTask)
+	b.now += 5 * requestPause
+	b.Tick(b.now)
+	assert.Equal(t, len(b.requested()), requestsPerTask+5)
+	asked := b.requested()[0]
+	assert.Equal(t, len(b.starts(asked)), 0)
+	b.reserve(asked, 1000)
+	assert.Equal(t, len(b.starts(asked)), 1)
+}
+
+// TestAnOrderWithoutAReservationGoesOnlyToAnEmptyTarget: any other room may be gone.
+func TestAnOrderWithoutAReservationGoesOnlyToAnEmptyTarget(t *testing.T) {
+	b := newWatchBench(t, 1)
+	b.beginWatch(b.now, b.agents["side-000"])
+	b.flush(b.now)
+	b.state("side-000", 3000, 1, peer.Healthy)
+	b.submit(jobOf("j", 1))
+	assert.Equal(t, len(b.starts("side-000")), 0)
+	assert.Equal(t, len(b.requested()), 1)
+	b.state("side-000", 4000, 1, peer.Healthy)
+	assert.Equal(t, len(b.starts("side-000")), 1)
+}
+
+// TestRoomIsRequestedWhereTheTaskEndsFirst: of the watched agents that are believed to
+// have room, the fastest are asked.
+func TestRoomIsRequestedWhereTheTaskEndsFirst(t *testing.T) {
+	b := newWatchBench(t, 5)
+	for k, a := range b.byName {
+		b.beginWatch(b.now, a)
+		b.flush(b.now)
+		b.state(a.name, 2000, 0.5+float64(k)/4, peer.Healthy)
+	}
+	b.submit(jobOf("j", 1))
+	assert.DeepEqual(t, b.requested(), []string{"side-003", "side-004"})
+}
+
+// TestWatchesAreBounded: however long a job waits, no more agents are asked than may be
+// watched; without jobs none is.
+func TestWatchesAreBounded(t *testing.T) {
+	b := newWatchBench(t, 100)
+	b.submit(jobOf("j", 30))
+	b.now += 200 * requestPause
+	b.schedule(b.now, b.queue("trackd"))
+	assert.Equal(t, len(b.watched), minWatched)
+	b.CancelJob(b.now, "j")
+	b.now += watchTime
+	b.Tick(b.now)
+	assert.Equal(t, len(b.watched), minWatched)
+	b.now += idleAfter
+	b.Tick(b.now)
+	assert.Equal(t, len(b.watched), 0)
+}
+
+// TestAnAgentThatIsSilentIsGivenUp: soon while it is used, later otherwise.
+func TestAnAgentThatIsSilentIsGivenUp(t *testing.T) {
+	b := newWatchBench(t, 1)
+	const name = "side-000"
+	heard := b.now
+	assert.Assert(t, !b.SilentTooLong(heard+peer.IdleSilence, name))
+	assert.Assert(t, b.SilentTooLong(heard+peer.IdleSilence+1, name))
+	b.now += time.Second
+	b.submit(jobOf("j", 1))
+	assert.Assert(t, !b.SilentTooLong(b.now+peer.Silence, name))
+	assert.Assert(t, b.SilentTooLong(b.now+peer.Silence+1, name))
+}
+
+// TestASpecGoesToOneAgentOverANarrowLink: the others are told where it is; over a wide link
+// each gets it.
+func TestASpecGoesToOneAgentOverANarrowLink(t *testing.T) {
+	for megabits, sent := range map[float64]int{0: 3, 1000: 3, 2: 1} {
+		b := newWatchBench(t, 3)
+		b.SetLink(megabits)
+		j := jobOf("j", 6)
+		j.Spec = strings.Repeat("x", 1200)
+		b.submit(j)
+		specs, elsewhere, kept := 0, 0, 0
+		for _, a := range b.byName {
+			b.reserve(a.name, 2000)
+			for _, o := range b.starts(a.name) {
+				switch {
+				case o.SpecAt != "":
+					elsewhere++
+				case o.SpecKept:
+					kept++
+				default:
+					assert.Equal(t, o.Spec, j.Spec)
+					specs++
+				}
+			}
+		}
+		assert.Equal(t, specs, sent, "%v Mbit/s", megabits)
+		assert.Equal(t, specs+elsewhere+kept, 6)
+	}
+}
