Documents go compressed, and take a quarter of a narrow link

A document of repeated routes is at least 20 times smaller compressed. Peers of the version before get it plain.

--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,7 @@
 	TargetIncarnation     Kind = "target-incarnation"
 	TargetIncarnationOver Kind = "target-incarnation-over"
 	HeartbeatHeldUp       Kind = "heartbeat-held-up"
+	DocumentUnreadable    Kind = "document-unreadable"
 	SpecNotFetched        Kind = "spec-not-fetched"
 	SpecNotGiven          Kind = "spec-not-given"
 	TargetServing         Kind = "target-serving"
@@ -127,6 +128,7 @@
 	{TargetIncarnation, false, "A heartbeat came from an incarnation of the target that is new here."},
 	{TargetIncarnationOver, false, "A call was answered by another incarnation of the target."},
 	{HeartbeatHeldUp, false, "A heartbeat came late: its incarnation of the target is not the one that answers."},
+	{DocumentUnreadable, false, "A configuration could not be compressed or decompressed."},
 	{SpecNotFetched, false, "The spec of an order did not come from the agent that the entry named: the order is rejected."},
 	{SpecNotGiven, false, "Another agent asked for a spec, and the answer could not be sent."},
 	{TargetServing, false, "No run of an earlier agent is left on the target: it takes work."},
--- a/node/agent.go
+++ b/node/agent.go
@@ -44,7 +44,7 @@
 	conns           map[supervisor.ConnID]*agentConn
 	lastConn        supervisor.ConnID
 	entries         map[string]string // addresses of all known entries, by name
-	document        []byte            // the newest configuration that any entry sent
+	document        document          // the newest configuration that any entry sent
 	configVersion   uint64            // of the document
 	documentRequest documentRequest
 	flushScheduled  bool
@@ -54,9 +54,10 @@
 
 // agentConn is a connection of an entry.
 type agentConn struct {
-	name string // of the entry
-	conn *peer.Conn
-	echo time.Duration // the entry's latest stamp
+	name  string     // of the entry
+	level peer.Level // that it understands
+	conn  *peer.Conn
+	echo  time.Duration // the entry's latest stamp
 }
 
 // NewAgent returns an agent that is not running yet.
@@ -195,7 +196,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastConn++
-	a.conns[a.lastConn] = &agentConn{name: h.Name, conn: c}
+	a.conns[a.lastConn] = &agentConn{name: h.Name, level: h.Level, conn: c}
 	a.entries[h.Name] = h.Addr
 	a.supervisor.Connected(a.clock.now(), a.lastConn, h.Name, h.Level)
 	return a.lastConn
@@ -220,9 +221,9 @@
 		return
 	}
 	c.echo = max(c.echo, f.Stamp)
-	if len(f.Document) > 0 && f.Config > a.configVersion {
+	if doc := documentOf(f); !doc.empty() && f.Config > a.configVersion {
 		a.configVersion = f.Config
-		a.document = f.Document
+		a.document = doc
 		a.documentRequest = documentRequest{}
 	}
 	now := a.clock.now()
--- a/node/configure.go
+++ b/node/configure.go
@@ -59,8 +59,18 @@
 
 // applyDocument puts a configuration document from the store or from an agent in
 // force, if it is newer than the one that is.
-func (e *Entry) applyDocument(document []byte) {
-	table, err := e.source.Parse(document)
+func (e *Entry) applyDocument(text []byte) {
+	e.apply(document{plain: text})
+}
+
+// apply is applyDocument for a document in any of its forms.
+func (e *Entry) apply(doc document) {
+	text, err := doc.text()
+	if err != nil {
+		e.log.Error(event.DocumentUnreadable, "error", err.Error())
+		return
+	}
+	table, err := e.source.Parse(text)
 	if err != nil {
 		e.log.Error(event.ConfigRefused, "why", err.Error())
 		return
@@ -71,7 +81,7 @@
 	if old != nil && old.Version >= table.Version {
 		return
 	}
-	e.document = document
+	e.document = doc
 	e.documentRequest = documentRequest{}
 	e.table.Store(table)
 	if old == nil {
--- a/node/document.go
+++ b/node/document.go
@@ -20,9 +20,11 @@
 	// own watch of the store before it asks an agent for a newer one. Not
 	// measured.
 	watchHeadStart = 300 * time.Millisecond
-	// documentRate is how many bytes of documents an entry sends a second; a peer
-	// that asks beyond that asks another entry, or again. Not measured.
-	documentRate = 1 << 20
+	// documentRate is how many bytes of documents an entry sends a second, and
+	// documentLinkShare the share of its link that they take at the most; a peer that
+	// asks beyond that asks another entry, or again. Not measured.
+	documentRate      = 1 << 20
+	documentLinkShare = 0.25
 )
 
 // documentRequest decides when a newer document is asked for.
@@ -52,12 +54,18 @@
 	freeAt time.Duration
 }
 
-// take reports whether that many bytes may be sent now, and counts them.
-func (p *documentPacer) take(now time.Duration, bytes int) bool {
+// take reports whether that many bytes may be sent now over a link of a rate in megabits a
+// second, zero where it is not known, and counts them.
+func (p *documentPacer) take(now time.Duration, bytes int, link float64) bool {
 	if now < p.freeAt {
 		return false
 	}
-	p.freeAt = now + time.Duration(bytes)*time.Second/documentRate
+	const bytesPerMegabit = 1e6 / 8
+	rate := float64(documentRate)
+	if link > 0 {
+		rate = min(rate, documentLinkShare*link*bytesPerMegabit)
+	}
+	p.freeAt = now + time.Duration(float64(bytes)/rate*float64(time.Second))
 	return true
 }
 
@@ -65,21 +73,27 @@
 // it this entry's where it asks. It is called with the lock held.
 func (e *Entry) passDocument(now time.Duration, agent string, f *peer.Frame) {
 	headStart := watchHeadStart
-	if e.document == nil {
+	if e.document.empty() {
 		headStart = 0
 	}
 	if f.Config > e.version() && e.documentRequest.due(now, headStart) {
 		e.log.Info(event.DocumentAsked, "agent", agent, "version", f.Config, "own", e.version())
 		e.send(agent, &peer.Frame{AskDocument: true})
 	}
-	if !f.AskDocument || e.document == nil {
+	if !f.AskDocument || e.document.empty() {
+		return
+	}
+	out, err := e.document.frame(e.owner.Level(agent))
+	if err != nil {
+		e.log.Error(event.DocumentUnreadable, "agent", agent, "error", err.Error())
 		return
 	}
-	if !e.documentPacer.take(now, len(e.document)) {
-		e.log.Info(event.DocumentDeferred, "agent", agent, "bytes", len(e.document))
+	bytes := len(out.Document) + len(out.DocumentZip)
+	if !e.documentPacer.take(now, bytes, e.settings.LinkMbps) {
+		e.log.Info(event.DocumentDeferred, "agent", agent, "bytes", bytes)
 		return
 	}
-	e.send(agent, &peer.Frame{Document: e.document})
+	e.send(agent, out)
 }
 
 // passDocument asks the entry for its document where it knows a newer one, and sends
@@ -89,7 +103,13 @@
 		a.log.Info(event.DocumentAsked, "entry", a.conns[id].name, "version", f.Config, "own", a.configVersion)
 		a.send(id, &peer.Frame{AskDocument: true})
 	}
-	if f.AskDocument && a.document != nil {
-		a.send(id, &peer.Frame{Document: a.document})
+	if !f.AskDocument || a.document.empty() {
+		return
+	}
+	out, err := a.document.frame(a.conns[id].level)
+	if err != nil {
+		a.log.Error(event.DocumentUnreadable, "entry", a.conns[id].name, "error", err.Error())
+		return
 	}
+	a.send(id, out)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -65,7 +65,7 @@
 	owner           *owner.Owner
 	links           map[string]*link // by agent
 	pause           pause
-	document        []byte // of the configuration in force
+	document        document // of the configuration in force
 	documentRequest documentRequest
 	documentPacer   documentPacer
 }
--- a/node/link.go
+++ b/node/link.go
@@ -152,8 +152,8 @@
 
 // receive handles a frame of an agent.
 func (e *Entry) receive(l *link, c *peer.Conn, f *peer.Frame) {
-	if len(f.Document) > 0 {
-		e.applyDocument(f.Document)
+	if doc := documentOf(f); !doc.empty() {
+		e.apply(doc)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/node/zip_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"bytes"
+	"compress/gzip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/peer"
+)
+
+// TestADocumentComesAsItWasWritten, whatever the levels of those that it goes through, and
+// goes compressed to who understands that.
+func TestADocumentComesAsItWasWritten(t *testing.T) {
+	text := bytes.Repeat([]byte(`{"route":"nony24.example"}`), 4000)
+	for _, first := range []peer.Level{peer.LevelBase, peer.LevelNewest} {
+		for _, second := range []peer.Level{peer.LevelBase, peer.LevelNewest} {
+			own := document{plain: text}
+			f, err := own.frame(first)
+			assert.NilError(t, err)
+			passed := documentOf(f)
+			f, err = passed.frame(second)
+			assert.NilError(t, err)
+			if second >= peer.LevelRelay {
+				assert.Equal(t, len(f.Document), 0)
+				assert.Assert(t, len(f.DocumentZip) < len(text)/20)
+			}
+			last := documentOf(f)
+			got, err := last.text()
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(got, text))
+		}
+	}
+}
+
+// TestADocumentThatIsNotOne is refused with an error, also one that would fill the memory.
+func TestADocumentThatIsNotOne(t *testing.T) {
+	d := document{zipped: []byte("this is not compressed at all")}
+	_, err := d.text()
+	assert.ErrorIs(t, err, gzip.ErrHeader)
+	huge := document{plain: make([]byte, maxDocument+1)}
+	zipped, err := huge.zip()
+	assert.NilError(t, err)
+	d = document{zipped: zipped}
+	_, err = d.text()
+	assert.ErrorIs(t, err, errDocumentSize)
+}
+
+// TestDocumentsLeaveRoomOnANarrowLink: they take a quarter of it.
+func TestDocumentsLeaveRoomOnANarrowLink(t *testing.T) {
+	var p documentPacer
+	const bytes, megabits = 25_000, 2 // a tenth of a second at the whole rate
+	assert.Assert(t, p.take(0, bytes, megabits))
+	assert.Assert(t, !p.take(p.freeAt-1, bytes, megabits))
+	assert.Equal(t, p.freeAt.Milliseconds(), int64(400))
+}
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -130,6 +130,14 @@
 	return nil
 }
 
+// Level returns the level that an agent understands.
+func (o *Owner) Level(agent string) peer.Level {
+	if a := o.agents[agent]; a != nil {
+		return a.level
+	}
+	return peer.LevelBase
+}
+
 // SilentTooLong reports whether the connection to an agent should be given up.
 func (o *Owner) SilentTooLong(now time.Duration, name string) bool {
 	a := o.agents[name]
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -46,6 +46,8 @@
 	Hello *Hello
 	// Document hands over the configuration to a peer that has asked for it.
 	Document []byte
+	// DocumentZip is the same, compressed with gzip, on a connection of LevelRelay.
+	DocumentZip []byte
 	// AskDocument asks the receiver for its document.
 	AskDocument bool
 
@@ -106,7 +108,7 @@
 	// carry a heartbeat each IdleHeartbeatInterval. A job's spec goes to an agent once.
 	LevelWatch
 	// LevelRelay has agents hand specs to each other: an order may name an agent that
-	// has the spec in place of the text.
+	// has the spec in place of the text. Documents are compressed.
 	LevelRelay
 	// LevelNewest is what this version understands.
 	LevelNewest = LevelRelay
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -37,6 +37,7 @@
 		})},
 		{"either: asks for the configuration", with(func(f *Frame) { f.AskDocument = true })},
 		{"either: hands over the configuration", with(func(f *Frame) { f.Document = []byte(`{"version":12}`) })},
+		{"either: hands over the configuration, compressed", with(func(f *Frame) { f.DocumentZip = []byte{0x1f, 0x8b} })},
 		{"entry: starts", with(func(f *Frame) {
 			f.Starts = []task.Order{
 				{Task: id, Run: 2, Spec: "60ms", Needs: task.Needs{CPU: 1600, MemoryMB: 64, GPU: 1}, Estimate: 61 * time.Millisecond,
