--- a/owner/agent.go
+++ b/owner/agent.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
@@ -88,10 +89,18 @@
 	return a.serves(service) && now-a.heardAt <= maxStateAge
 }
 
-// stop adds the order to stop a run to the next frame.
-func (a *agent) stop(ref task.Ref) {
+// markDirty has a frame sent to a with the next flush.
+func (o *Owner) markDirty(a *agent) {
+	if !a.dirty {
+		a.dirty = true
+		o.dirty = append(o.dirty, a)
+	}
+}
+
+// stop adds the order to stop a run to the next frame to a.
+func (o *Owner) stop(a *agent, ref task.Ref) {
 	a.out.Stops = append(a.out.Stops, ref)
-	a.dirty = true
+	o.markDirty(a)
 }
 
 // applyState replaces the state and forgets the pending orders that it includes.
@@ -133,7 +142,7 @@
 	a.pending = nil
 	a.roomRequested = false
 	a.out = peer.Frame{}
-	a.dirty = true
+	o.markDirty(a)
 	o.logAgentConnected(a)
 }
 
@@ -237,9 +246,12 @@
 
 // flush sends each agent the frame that has collected for it.
 func (o *Owner) flush(now time.Duration) {
-	for _, a := range o.byName {
+	list := o.dirty
+	o.dirty = nil
+	slices.SortFunc(list, func(a, b *agent) int { return strings.Compare(a.name, b.name) })
+	for _, a := range list {
 		if !a.dirty {
-			continue
+			continue // it was lost in the meantime
 		}
 		f := a.out
 		a.out = peer.Frame{}
@@ -259,7 +271,9 @@
 // connection, so that this entry's lease there goes on.
 func (o *Owner) Heartbeats(now time.Duration) {
 	for _, a := range o.byName {
-		a.dirty = a.dirty || a.connected && now-a.sentAt >= peer.Interval(a.used())
+		if a.connected && now-a.sentAt >= peer.Interval(a.used()) {
+			o.markDirty(a)
+		}
 	}
 	o.flush(now)
 }
--- a/owner/answer.go
+++ b/owner/answer.go
@@ -100,7 +100,7 @@
 	case placed:
 		delete(a.tasks, id)
 		if !t.stopSent {
-			a.stop(task.Ref{Task: id, Run: t.run})
+			o.stop(a, task.Ref{Task: id, Run: t.run})
 		}
 	case uncertain:
 		delete(a.tasks, id)
--- /dev/null
+++ b/owner/decision_bench_test.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// BenchmarkDecision is one task from its submission to the answer, among so many agents:
+// requests for room, a reservation, the order, the end, and a share of the ticks at 1,300
+// jobs a second.
+func BenchmarkDecision(b *testing.B) {
+	const jobsPerTick = 1300 * int(TickInterval) / int(time.Second)
+	for _, agents := range []int{11, 70, 240, 1200} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			o := NewOwner(slog.New(slog.DiscardHandler))
+			now := time.Hour
+			var asked []string
+			var orders []task.Order
+			o.Send = func(agent string, f *peer.Frame) uint64 {
+				if f.RoomRequest != nil {
+					asked = append(asked, agent)
+				}
+				orders = append(orders, f.Starts...)
+				return 1
+			}
+			state := &peer.State{Profile: &peer.Profile{Service: "trackd", Capacity: task.Needs{CPU: 16000, MemoryMB: 100}},
+				Free: task.Needs{CPU: 8000, MemoryMB: 100}, Speed: 1, Accepting: true, Cleared: true, SeenSeq: 1}
+			for k := range agents {
+				name := fmt.Sprintf("side-%04d", k)
+				o.Connected(now, name)
+				o.Receive(now, name, &peer.Frame{Hello: &peer.Hello{Level: peer.LevelNewest}, State: state})
+			}
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				now += TickInterval / time.Duration(jobsPerTick)
+				if n%jobsPerTick == 0 {
+					o.Tick(now)
+					o.Heartbeats(now)
+				}
+				asked, orders = asked[:0], orders[:0]
+				o.Submit(now, jobOf(fmt.Sprint(n), 1), func(Answer) {})
+				agent := asked[0]
+				o.Receive(now, agent, &peer.Frame{State: state, Reservation: &peer.Reservation{ID: 1, Room: task.Needs{CPU: 4000, MemoryMB: 100}}})
+				o.Receive(now, agent, &peer.Frame{Ended: []peer.Ended{{
+					Ref: task.Ref{Task: orders[0].Task, Run: 1}, End: task.EndDone, Took: 100 * ms}}})
+				for _, other := range asked[1:] {
+					o.Receive(now, other, &peer.Frame{State: state, Reservation: &peer.Reservation{ID: 2}})
+				}
+			}
+		})
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -80,6 +80,7 @@
 	agents  map[string]*agent // by name; never removed
 	byName  []*agent          // the same, sorted
 	watched []*agent          // those that are watched, sorted: see watch.go
+	dirty   []*agent          // those that a frame is due to
 	// lastJobAt is when the last job came.
 	lastJobAt time.Duration
 
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -190,7 +190,7 @@
 	a.tasks[id] = j
 	a.usedAt = now
 	a.out.Starts = append(a.out.Starts, o.order(now, j, id, t.run, a))
-	a.dirty = true
+	o.markDirty(a)
 	s := j.spec.Steps[step]
 	a.pending = append(a.pending, pendingOrder{needs: s.Needs}) // flush adds the frame's number
 	o.stats.Starts++
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -46,12 +46,12 @@
 		}
 		asked++
 		if j.rank < a.requestRank-requestStep {
-			a.addRoomRequest(now, q, j, step)
+			o.addRoomRequest(now, q, a, j, step)
 		}
 	}
 	for _, a := range o.toAsk(now, q.service, j, step, o.requestLimit(now, q)-asked) {
 		o.beginWatch(now, a)
-		a.addRoomRequest(now, q, j, step)
+		o.addRoomRequest(now, q, a, j, step)
 	}
 }
 
@@ -110,11 +110,11 @@
 
 // addRoomRequest adds a request for room for the step's tasks, and in all for the
 // queue's, to the next frame.
-func (a *agent) addRoomRequest(now time.Duration, q *queue, j *job, step int) {
+func (o *Owner) addRoomRequest(now time.Duration, q *queue, a *agent, j *job, step int) {
 	a.roomRequested = true
 	a.requestRank = j.rank
 	a.usedAt = now
-	a.dirty = true
+	o.markDirty(a)
 	a.out.RoomRequest = &peer.RoomRequest{
 		Slack: j.rank - now,
 		Needs: j.spec.Steps[step].Needs,
@@ -128,7 +128,7 @@
 func (o *Owner) useReservation(now time.Duration, a *agent, r *peer.Reservation) {
 	a.roomRequested = false
 	a.out.UsedReservation = r.ID
-	a.dirty = true
+	o.markDirty(a)
 	q := o.queue(a.profile.Service)
 	room := r.Room
 	if !a.usable(now, q.service) {
@@ -146,7 +146,7 @@
 		}
 		needs := j.spec.Steps[step].Needs
 		if !needs.Fits(room) || !o.allowed(now, j, step, &j.steps[step].tasks[index], a) {
-			a.addRoomRequest(now, q, j, step)
+			o.addRoomRequest(now, q, a, j, step)
 			return
 		}
 		o.start(now, j, step, index, a)
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -75,7 +75,7 @@
 	}
 	t.stopSent = true
 	t.keepAway(a, now+failureBackoff)
-	a.stop(task.Ref{Task: id, Run: t.run})
+	o.stop(a, task.Ref{Task: id, Run: t.run})
 	o.stats.Moved++
 	o.logMoved(now, id, t, a, why)
 }
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -45,7 +45,7 @@
 	}
 	a.state.Free = task.Needs{}
 	a.out.Watch = peer.WatchBegins
-	a.dirty = true
+	o.markDirty(a)
 }
 
 // endWatch ends the watch of a.
@@ -57,7 +57,7 @@
 	a.roomRequested = false
 	o.watched = deleteAgent(o.watched, a)
 	a.out.Watch = peer.WatchEnds
-	a.dirty = true
+	o.markDirty(a)
 }
 
 // busy returns how many of the watched agents have tasks of this entry.
