--- a/owner/watch_test.go
+++ b/owner/watch_test.go
@@ -144,3 +144,33 @@
 		assert.Equal(t, specs+elsewhere+kept, 6)
 	}
 }
+
+// TestAnIdleEntryCostsLittle counts the bytes that an entry without jobs sends to 240
+// agents. They send it as much.
+func TestAnIdleEntryCostsLittle(t *testing.T) {
+	const (
+		agents  = 240
+		lasts   = 20 * time.Second
+		headers = 60   // bytes of a packet
+		most    = 14e3 // bytes a second, one way
+	)
+	b := newWatchBench(t, agents)
+	b.now += idleAfter
+	b.Tick(b.now)
+	bytes := 0
+	b.Send = func(_ string, f *peer.Frame) uint64 {
+		sent := *f
+		sent.Stamp, sent.Echo, sent.Seq, sent.Config = time.Hour, time.Hour, 1e6, 1e6
+		buf, err := peer.AppendFrame(nil, &sent)
+		assert.NilError(t, err)
+		bytes += len(buf) + headers
+		return 1
+	}
+	for end := b.now + lasts; b.now < end; b.now += TickInterval {
+		b.Tick(b.now)
+		b.Heartbeats(b.now)
+	}
+	perSecond := float64(bytes) / lasts.Seconds()
+	t.Logf("%.0f bytes a second", perSecond)
+	assert.Assert(t, perSecond > 0 && perSecond < most)
+}
