--- a/node/entry.go
+++ b/node/entry.go
@@ -145,6 +145,20 @@
 	return e.owner.Stats()
 }
 
+// watched returns how many agents are watched.
+func (e *Entry) watched() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner.Watched()
+}
+
+// linkQueue returns how long the host's link takes for what it has queued.
+func (e *Entry) linkQueue() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner.LinkQueue(e.clock.now())
+}
+
 // jobs returns how many jobs are owned.
 func (e *Entry) jobs() int {
 	e.mu.Lock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -103,8 +103,9 @@
 	// counts those that were not accepted, too.
 	Submitted, Completed, Failed, GivenUp, Refused, Cancelled uint64
 	// Starts are orders sent to agents, Rejected those that did not begin, Moved
-	// the runs that were stopped to be retried elsewhere.
-	Starts, Rejected, Moved uint64
+	// the runs that were stopped to be retried elsewhere, Relayed the orders that named
+	// an agent which has the spec.
+	Starts, Rejected, Moved, Relayed uint64
 }
 
 // NewOwner returns an owner without jobs and agents.
@@ -127,6 +128,16 @@
 	return o.stats
 }
 
+// Watched returns how many agents are watched.
+func (o *Owner) Watched() int {
+	return len(o.watched)
+}
+
+// LinkQueue returns how long the host's link takes for what it has queued, as estimated.
+func (o *Owner) LinkQueue(now time.Duration) time.Duration {
+	return o.link.delay(now, 0)
+}
+
 // Jobs returns how many jobs are owned.
 func (o *Owner) Jobs() int {
 	return len(o.jobs)
--- a/owner/spec.go
+++ b/owner/spec.go
@@ -104,6 +104,7 @@
 	if addr := o.specAt(now, j, a); addr != "" {
 		order.Spec = ""
 		order.SpecAt = addr
+		o.stats.Relayed++
 		return
 	}
 	a.specs.Add(order.Task.Job, "") // the agent keeps the text
--- a/testutil/fleet/workload.go
+++ b/testutil/fleet/workload.go
@@ -128,6 +128,7 @@
 	a.Starts += b.Starts
 	a.Rejected += b.Rejected
 	a.Moved += b.Moved
+	a.Relayed += b.Relayed
 	return a
 }
 
