Room is requested near a task's data, and only where the task may run

Cause, read from the code: the agents that are asked for room were chosen without a look at the step's label, at where its data lies, or at an agent that the task is kept away from.

Tests fail first (their asked agents were the watched ones).

--- a/owner/placement.go
+++ b/owner/placement.go
@@ -72,8 +72,8 @@
 		if !a.usable(now, j.spec.Service) || !s.Needs.Fits(a.freeRoom()) || !o.allowed(now, j, step, t, a) {
 			continue
 		}
-		if !a.roomCertain() {
-			uncertain = true
+		if !a.roomCertain() || a.level >= peer.LevelWatch && a.far(s) {
+			uncertain = true // or another one is nearer to the data
 			continue
 		}
 		if cost := a.candidate(s).cost(s, o.FarFactor); best == nil || cost < least {
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/task"
 )
 
 // requestStep is by how much a waiting job must be more urgent than the one that an
@@ -35,7 +36,7 @@
 	if j == nil {
 		return
 	}
-	step, _, ok := j.nextTask()
+	step, index, ok := j.nextTask()
 	if !ok {
 		return
 	}
@@ -49,7 +50,7 @@
 			o.addRoomRequest(now, q, a, j, step)
 		}
 	}
-	for _, a := range o.toAsk(now, q.service, j, step, o.requestLimit(now, q)-asked) {
+	for _, a := range o.toAsk(now, j, step, index, o.requestLimit(now, q)-asked) {
 		o.beginWatch(now, a)
 		o.addRoomRequest(now, q, a, j, step)
 	}
@@ -65,41 +66,67 @@
 	return perTask*q.waitingTasks(len(o.byName)) + int((now-q.backlogSince)/pause)
 }
 
-// toAsk returns up to count agents to ask for room: watched ones that are believed to have
-// some, those first on which the task is likely to end first; then others that are not
-// watched, as long as more may be; then the rest. Agents of the version before are asked
-// in any case. Ejected targets are not: they get single probes only.
-func (o *Owner) toAsk(now time.Duration, service string, j *job, step, count int) []*agent {
-	s := j.spec.Steps[step]
-	var before, room, full []*agent
+// toAsk returns up to count agents to ask for room for a task: first those near its data.
+// Agents of the version before are asked in any case. Ejected targets are not: they get
+// single probes only.
+func (o *Owner) toAsk(now time.Duration, j *job, step, index, count int) []*agent {
+	var before []*agent
+	may := func(a *agent) bool {
+		return !a.roomRequested && a.state.Health != peer.Ejected && o.allowed(now, j, step, &j.steps[step].tasks[index], a)
+	}
 	for _, a := range o.watched {
-		switch {
-		case a.roomRequested || !a.usable(now, service) || a.state.Health == peer.Ejected:
-		case a.level < peer.LevelWatch:
+		if a.level < peer.LevelWatch && a.usable(now, j.spec.Service) && may(a) {
 			before = append(before, a)
-		case s.Needs.Fits(a.freeRoom()):
-			room = append(room, a)
-		default:
-			full = append(full, a)
 		}
 	}
-	slices.SortStableFunc(room, func(a, b *agent) int {
+	s := j.spec.Steps[step]
+	near := func(a *agent) bool { return may(a) && !a.far(s) }
+	list := o.withRoom(now, j.spec.Service, s, near, count)
+	list = append(list, o.unknownAgents(j.spec.Service, near, count-len(list))...)
+	if s.Rack != "" {
+		far := func(a *agent) bool { return may(a) && a.far(s) }
+		list = append(list, o.withRoom(now, j.spec.Service, s, far, count-len(list))...)
+		list = append(list, o.unknownAgents(j.spec.Service, far, count-len(list))...)
+	}
+	list = append(list, o.withoutRoom(now, j.spec.Service, s, may, count-len(list))...)
+	return append(list, before...)
+}
+
+// withRoom returns up to count agents that are watched and believed to have room, those
+// first on which the task is likely to end first.
+func (o *Owner) withRoom(now time.Duration, service string, s task.Step, meets func(*agent) bool, count int) []*agent {
+	list := o.watchedWhere(now, service, func(a *agent) bool { return s.Needs.Fits(a.freeRoom()) && meets(a) })
+	slices.SortStableFunc(list, func(a, b *agent) int {
 		return cmp.Compare(a.candidate(s).cost(s, o.FarFactor), b.candidate(s).cost(s, o.FarFactor))
 	})
-	list := room[:max(0, min(len(room), count))]
-	list = append(list, o.unknownAgents(service, count-len(list))...)
-	list = append(list, full[:max(0, min(len(full), count-len(list)))]...)
-	return append(list, before...)
+	return list[:max(0, min(len(list), count))]
 }
 
-// unknownAgents returns up to count agents of a service that are not watched, as long as
-// more may be.
-func (o *Owner) unknownAgents(service string, count int) []*agent {
+// withoutRoom returns up to count agents that are watched and believed to be full: room
+// there may be free soon.
+func (o *Owner) withoutRoom(now time.Duration, service string, s task.Step, meets func(*agent) bool, count int) []*agent {
+	list := o.watchedWhere(now, service, func(a *agent) bool { return !s.Needs.Fits(a.freeRoom()) && meets(a) })
+	return list[:max(0, min(len(list), count))]
+}
+
+// watchedWhere returns the agents of this version that are watched, may be given work and
+// meet the condition.
+func (o *Owner) watchedWhere(now time.Duration, service string, meets func(*agent) bool) []*agent {
+	var list []*agent
+	for _, a := range o.watched {
+		if a.level >= peer.LevelWatch && a.usable(now, service) && meets(a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// unknownAgents returns up to count agents that are not watched and meet the condition, as
+// long as more may be watched.
+func (o *Owner) unknownAgents(service string, meets func(*agent) bool, count int) []*agent {
 	var list []*agent
 	for len(list) < min(count, o.mayWatch()-len(o.watched)) {
-		a := o.unwatched(func(a *agent) bool {
-			return a.serves(service) && a.state.Health != peer.Ejected && !slices.Contains(list, a)
-		})
+		a := o.unwatched(func(a *agent) bool { return a.serves(service) && meets(a) && !slices.Contains(list, a) })
 		if a == nil {
 			break
 		}
@@ -122,9 +149,9 @@
 	}
 }
 
-// useReservation fills the room that a has reserved for this entry with the tasks
-// that are first now. Where the first one does not fit or may not run there, the
-// rest is given back and room is requested anew.
+// useReservation fills the room that a has reserved for this entry with the tasks that are
+// first now. Where the next one does not fit, the rest is given back and room is requested
+// anew.
 func (o *Owner) useReservation(now time.Duration, a *agent, r *peer.Reservation) {
 	a.roomRequested = false
 	a.out.UsedReservation = r.ID
@@ -135,7 +162,7 @@
 		return
 	}
 	for {
-		j := q.peek(now)
+		j := o.firstFor(now, q, a)
 		if j == nil {
 			return
 		}
@@ -145,7 +172,7 @@
 			continue
 		}
 		needs := j.spec.Steps[step].Needs
-		if !needs.Fits(room) || !o.allowed(now, j, step, &j.steps[step].tasks[index], a) {
+		if !needs.Fits(room) {
 			o.addRoomRequest(now, q, a, j, step)
 			return
 		}
@@ -153,3 +180,48 @@
 		room = room.Minus(needs)
 	}
 }
+
+// firstFor returns the job of the queue that goes first at a: the most urgent one, unless
+// its next task may not run there or has its data elsewhere, and that of another job may
+// and has not. Nil where no job may run there.
+func (o *Owner) firstFor(now time.Duration, q *queue, a *agent) *job {
+	first := q.peek(now)
+	if first == nil || o.fit(now, first, a) == fitsWell {
+		return first
+	}
+	var best *job
+	for _, j := range q.waiting {
+		fit := o.fit(now, j, a)
+		if fit == fitsNot {
+			continue
+		}
+		if best == nil || fit > o.fit(now, best, a) || fit == o.fit(now, best, a) && j.rank < best.rank {
+			best = j
+		}
+	}
+	return best
+}
+
+// fit says whether the next task of a job may run at an agent, and near its data.
+type fit uint8
+
+const (
+	fitsNot fit = iota
+	fitsFar
+	fitsWell
+)
+
+// fit returns how well the next task of j fits a. A job without one fits, so that it is
+// seen and taken out of the queue.
+func (o *Owner) fit(now time.Duration, j *job, a *agent) fit {
+	step, index, ok := j.nextTask()
+	switch {
+	case !ok:
+		return fitsWell
+	case !o.allowed(now, j, step, &j.steps[step].tasks[index], a):
+		return fitsNot
+	case a.far(j.spec.Steps[step]):
+		return fitsFar
+	}
+	return fitsWell
+}
--- a/owner/watch_test.go
+++ b/owner/watch_test.go
@@ -174,3 +174,64 @@
 	t.Logf("%.0f bytes a second", perSecond)
 	assert.Assert(t, perSecond > 0 && perSecond < most)
 }
+
+// labelled has an agent tell that its target has a label.
+func (b *bench) labelled(agent, label string, cpu int) {
+	b.Receive(b.now, agent, &peer.Frame{State: &peer.State{
+		Profile: &peer.Profile{Target: "i", Service: "trackd", Labels: []string{label}, Capacity: task.Needs{CPU: 4000, MemoryMB: 100}},
+		Free:    task.Needs{CPU: cpu, MemoryMB: 100}, Speed: 1, Accepting: true, Cleared: true, SeenSeq: b.seq}})
+}
+
+// TestRoomIsRequestedNearTheData: of a hundred agents the two whose targets hold the data
+// are asked, not the ones that are watched.
+func TestRoomIsRequestedNearTheData(t *testing.T) {
+	b := newWatchBench(t, 100)
+	for _, a := range b.byName[:5] {
+		b.beginWatch(b.now, a)
+		b.flush(b.now)
+		b.labelled(a.name, "rack-1", 4000)
+	}
+	b.labelled("side-040", "rack-2", 4000)
+	b.labelled("side-080", "rack-2", 4000)
+	j := jobOf("j", 1)
+	j.Steps[0].Rack = "rack-2"
+	b.submit(j)
+	assert.DeepEqual(t, b.requested(), []string{"side-040", "side-080"})
+	b.now += requestPause
+	b.Tick(b.now)
+	assert.Equal(t, len(b.requested()), 3, "later others, too")
+}
+
+// TestOnlyAgentsThatMayRunATaskAreAsked: those with its label.
+func TestOnlyAgentsThatMayRunATaskAreAsked(t *testing.T) {
+	b := newWatchBench(t, 100)
+	b.labelled("side-010", "gpu", 4000)
+	j := jobOf("j", 1)
+	j.Steps[0].Label = "gpu"
+	b.submit(j)
+	b.now += 20 * requestPause
+	b.Tick(b.now)
+	assert.DeepEqual(t, b.requested(), []string{"side-010"})
+}
+
+// TestAReservationGoesToTheJobWhoseDataIsNear, though another one is more urgent; without
+// such a job the most urgent takes it; a job that may not run there leaves it.
+func TestAReservationGoesToTheJobWhoseDataIsNear(t *testing.T) {
+	b := newWatchBench(t, 3)
+	b.labelled("side-000", "rack-1", 0)
+	b.labelled("side-001", "rack-2", 0)
+	urgent, near, never := jobOf("1", 1), jobOf("2", 1), jobOf("3", 1)
+	urgent.Steps[0].Rack, near.Steps[0].Rack, never.Steps[0].Label = "rack-1", "rack-2", "none"
+	b.submit(urgent)
+	b.now += 5 * ms
+	b.submit(near)
+	b.submit(never)
+	b.reserve("side-001", 2000)
+	orders := b.starts("side-001")
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0].Task.Job, "2")
+	assert.Equal(t, orders[1].Task.Job, "1")
+	b.reserve("side-000", 1000)
+	assert.Equal(t, len(b.starts("side-000")), 0)
+	assert.Assert(t, !b.agents["side-000"].roomRequested)
+}
