Histories: a refusal while no target had room is not a failed recovery

Traced: all three targets were full from 13.44 to 13.82 s (662, 1,177 and 554 thousandths of a core free, by the targets themselves; tasks of 1,992 waited), six jobs of two to five tasks of 0.9 s having come within half a second. One was refused after 225 ms with a time to come back, one took longer than its caller waited. Nothing of the faults was left: the check took a load that three targets can't bear for a failure to recover.

A refusal while there is room counts as before.

--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -102,6 +102,9 @@
 				return // the client has gone on meanwhile
 			}
 			c.waiter = e.owner.Submit(w.now(), c.spec, func(a owner.Answer) {
+				if c.calm && a.Kind == owner.Refused && !w.roomFor(c.spec) {
+					w.Counts.CalmFull++
+				}
 				w.after(3*time.Millisecond, func() { c.answer(tries, a) })
 			})
 			e.clients[c.spec.ID] = c
