--- a/peer/frame.go
+++ b/peer/frame.go
@@ -32,9 +32,9 @@
 type Frame struct {
 	// Stamp is the sender's own steady clock.
 	Stamp time.Duration
-	// Echo is the latest stamp that the sender has got from the receiver. The
-	// lease that the receiver grants the sender counts from it, on the receiver's
-	// own clock.
+	// Echo is what the receiver's clock reads at the least when the frame is sent, by
+	// the latest stamp that the sender has got from it (type Echo); an agent echoes the
+	// stamp itself. The lease that the receiver grants the sender counts from it.
 	Echo time.Duration
 	// Seq numbers the frames of one direction of a connection, from 1.
 	Seq uint64
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -11,9 +11,9 @@
 )
 
 // OwnerLease is how long an entry may be silent before its runs are stopped,
-// counted from the agent's own stamp that the entry echoed. A shorter one would stop
-// more runs on links that lose packets, where a second loss in a row takes 600 ms to
-// repair. docs/design/platform.md has the sum of the leases.
+// counted from the reading of the agent's own clock that the entry echoed. A shorter one
+// would stop more runs on links that lose packets, where a second loss in a row takes
+// 600 ms to repair. docs/design/platform.md has the sum of the leases.
 const OwnerLease = 500 * time.Millisecond
 
 // ConnID names one connection of an entry. An entry that connects again owns
@@ -31,8 +31,9 @@
 	heardAt      time.Duration // when the last frame came
 	runs         int           // ordered on this connection, whose end is not certain
 	specs        peer.Specs    // of jobs
-	// leaseFrom is the latest of this agent's own stamps that the entry has sent
-	// back: its lease counts from there.
+	// leaseFrom is what this agent's clock read at the least when the entry sent its
+	// last frame, as the entry reckons from this agent's stamps: its lease counts from
+	// there.
 	leaseFrom time.Duration
 	seenSeq   uint64 // of the last frame that came
 	// roomRequest is what the entry wants, nil where nothing waits there.
