--- a/code/code.go
+++ b/code/code.go
@@ -105,6 +105,7 @@
 	RunOverLimit       Code = 716
 	RunTargetRoom      Code = 717
 	RunSpecUnknown     Code = 718
+	RunHallEvacuated   Code = 719
 )
 
 // Reasons of an entry's and an agent's judgements (8xx).
@@ -121,6 +122,7 @@
 	JobLinkFull     Code = 810
 	RunMovedEjected Code = 811
 	RunMovedOverdue Code = 812
+	JobEvacuated    Code = 813
 	TargetFails     Code = 821
 	TargetSlow      Code = 822
 	TargetOverdue   Code = 823
--- a/code/table.go
+++ b/code/table.go
@@ -83,6 +83,7 @@
 	{RunOverLimit, "run-over-limit", http.StatusServiceUnavailable, "The caller's time was over."},
 	{RunTargetRoom, "run-target-room", http.StatusServiceUnavailable, "The target says that the run does not fit."},
 	{RunSpecUnknown, "run-spec-unknown", http.StatusServiceUnavailable, "The order left out a spec that the agent does not remember."},
+	{RunHallEvacuated, "run-hall-evacuated", http.StatusServiceUnavailable, "The target's data hall is evacuated: nothing new starts there."},
 
 	{JobAllDone, "job-all-done", http.StatusOK, "Every task has ended well."},
 	{JobAttempts, "job-attempts", http.StatusOK, "A task has failed as often as its queue allows."},
@@ -96,6 +97,7 @@
 	{JobLinkFull, "job-link-full", http.StatusServiceUnavailable, "The entry's link has too much queued."},
 	{RunMovedEjected, "run-moved-ejected", http.StatusOK, "The target was ejected: the run is retried elsewhere."},
 	{RunMovedOverdue, "run-moved-overdue", http.StatusOK, "The run is far past its likely time: it is retried elsewhere."},
+	{JobEvacuated, "job-evacuated", http.StatusServiceUnavailable, "No task was started, and every target that may run the job is in an evacuated data hall."},
 	{TargetFails, "target-fails", http.StatusOK, "Runs of several jobs failed there that had not failed elsewhere."},
 	{TargetSlow, "target-slow", http.StatusOK, "The last jobs' runs took far longer than estimated."},
 	{TargetOverdue, "target-overdue", http.StatusOK, "Runs of several jobs are far past their likely time."},
--- a/event/event.go
+++ b/event/event.go
@@ -30,6 +30,7 @@
 	DocumentAsked    Kind = "document-asked"
 	DocumentDeferred Kind = "document-deferred"
 	ConfigAwaited    Kind = "config-awaited"
+	HallsEvacuated   Kind = "halls-evacuated"
 
 	ConnectionEnded    Kind = "connection-ended"
 	AgentUnreachable   Kind = "agent-unreachable"
@@ -67,6 +68,9 @@
 	TargetServing         Kind = "target-serving"
 	TargetDraining        Kind = "target-draining"
 	TargetDeregistered    Kind = "target-deregistered"
+	TargetEvacuated       Kind = "target-evacuated"
+	TargetReturned        Kind = "target-returned"
+	TargetEmpty           Kind = "target-empty"
 	TargetHealth          Kind = "target-health"
 	TargetLosingReplies   Kind = "target-losing-replies"
 	RenewalFailed         Kind = "renewal-failed"
@@ -103,6 +107,7 @@
 	{LinesDropped, false, "How many lines of a kind were not written in the last second."},
 	{DocumentAsked, false, "A peer knows a newer configuration and was asked for it."},
 	{DocumentDeferred, false, "A peer asked for the configuration and did not get it: too much was sent just before."},
+	{HallsEvacuated, false, "Which data halls are evacuated has changed: all of them, the revision of the operators' request, and from whom it was heard."},
 	{ConnectionEnded, false, "A connection between an entry and an agent ended, and why; agent-lost or entry-lost follows."},
 	{AgentUnreachable, false, "An entry can't connect to an agent, the first failure in a row; it tries again, ever less often."},
 	{IntroductionFailed, false, "An agent could not make itself known to an entry; it tries again, ever less often."},
@@ -134,6 +139,9 @@
 	{TargetServing, false, "No run of an earlier agent is left on the target: it takes work."},
 	{TargetDraining, false, "The target drains: it gets no more work."},
 	{TargetDeregistered, false, "The target is shutting down."},
+	{TargetEvacuated, false, "The target's data hall is evacuated, by the request of that revision: it gets no new run; those there go on."},
+	{TargetReturned, false, "The evacuation was taken back, after so long: the target takes work again."},
+	{TargetEmpty, false, "The last run on a target in an evacuated hall has ended, so long after the request came into force here."},
 	{TargetHealth, false, "The target was ejected, or has recovered."},
 	{TargetLosingReplies, false, "The target left a call unanswered and answers others: a second renewal is kept under way."},
 	{RenewalFailed, false, "A renewal of the target's lease was not accepted, the first in a row: why, or the error."},
--- a/node/configure.go
+++ b/node/configure.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/event"
 	"github.com/beaconpoint/beaconpoint/routing"
 )
@@ -21,19 +22,23 @@
 	firstConfigTime = 400 * time.Millisecond
 )
 
+// fromStore says in log lines that the store told of something, and not an agent.
+const fromStore = "store"
+
 // watchConfig applies the configuration from its source as it is and as it changes,
 // until the context ends.
 func (e *Entry) watchConfig(ctx context.Context) {
 	read := &storeCall{name: "config", log: e.log}
 	watch := &storeCall{name: "watch", log: e.log}
+	observer := ConfigObserver{Document: e.applyDocument, Evacuations: e.applyEvacuations, Evacuation: e.applyEvacuation}
 	var at uint64 // the store's revision; zero: read anew
 	for ctx.Err() == nil {
 		if at == 0 {
-			at = e.readConfig(ctx, read)
+			at = e.readConfig(ctx, read, observer)
 			continue
 		}
 		watch.try(ctx, watchWait, func(ctx context.Context) error {
-			next, err := e.source.Watch(ctx, at, watchWait, e.applyDocument)
+			next, err := e.source.Watch(ctx, at, watchWait, observer)
 			if err == nil {
 				at = next
 			}
@@ -44,11 +49,11 @@
 
 // readConfig reads the configuration and returns the revision to watch from, zero
 // where none was read.
-func (e *Entry) readConfig(ctx context.Context, call *storeCall) uint64 {
+func (e *Entry) readConfig(ctx context.Context, call *storeCall, observer ConfigObserver) uint64 {
 	var at uint64
 	done := call.try(ctx, 0, func(ctx context.Context) error {
 		var err error
-		at, err = e.source.Read(ctx, e.applyDocument)
+		at, err = e.source.Read(ctx, observer)
 		return err
 	})
 	if done && at == 0 {
@@ -90,6 +95,27 @@
 	e.log.Info(event.ConfigTaken, "version", table.Version, "queues", len(table.Queues))
 }
 
+// applyEvacuations applies the evacuated halls as the store has them.
+func (e *Entry) applyEvacuations(set evacuation.Set) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.owner.Evacuate(e.clock.now(), set, fromStore)
+}
+
+// applyEvacuation applies one change of the evacuated halls, from the watch of the store.
+func (e *Entry) applyEvacuation(revision uint64, hall string, evacuated bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.owner.Evacuate(e.clock.now(), e.owner.Evacuations().With(revision, hall, evacuated), fromStore)
+}
+
+// evacuations returns how many halls, and known targets in them, are evacuated.
+func (e *Entry) evacuations() (halls, targets int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.owner.Evacuations().Halls), e.owner.EvacuatedTargets()
+}
+
 // AwaitTable returns the configuration in force. Where there is none it waits for one,
 // but only while the entry has just started; after that it returns nil at once.
 func (e *Entry) AwaitTable(ctx context.Context) *routing.Table {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -66,6 +66,8 @@
 	count("beaconpoint_specs_relayed_total", func() uint64 { return e.Stats().Relayed })
 	set.NewGauge("beaconpoint_link_queue_seconds", func() float64 { return e.linkQueue().Seconds() })
 	count("beaconpoint_config_version", e.version)
+	count("beaconpoint_halls_evacuated", func() uint64 { halls, _ := e.evacuations(); return uint64(halls) })
+	count("beaconpoint_targets_evacuated", func() uint64 { _, targets := e.evacuations(); return uint64(targets) })
 	e.submitted = set.NewHistogram("beaconpoint_answer_seconds")
 	e.stages = newStageHistograms(set, stage.EntryStages)
 	e.answers = make(map[code.Code]*metrics.Counter)
@@ -79,7 +81,7 @@
 // answerCauses are the codes that an entry answers jobs with.
 var answerCauses = []code.Code{
 	code.JobAllDone, code.JobAttempts, code.JobHopeless, code.JobTooLate, code.JobCallerLeaves, code.JobCancelled,
-	code.JobUnsupported, code.JobNoConfig, code.JobBehind, code.JobLinkFull, code.QueueFull,
+	code.JobUnsupported, code.JobNoConfig, code.JobBehind, code.JobLinkFull, code.JobEvacuated, code.QueueFull,
 }
 
 // CountAnswer counts an answer by its cause, also that to a request which is refused
@@ -97,6 +99,7 @@
 	set.NewGauge("beaconpoint_runs", func() float64 { return float64(a.stats().Runs) })
 	set.NewGauge("beaconpoint_room_cpu", func() float64 { return float64(a.stats().FreeCPU) })
 	set.NewGauge("beaconpoint_worker_sick", func() float64 { return float64(a.stats().Ejected) })
+	set.NewGauge("beaconpoint_target_evacuated", func() float64 { return float64(a.stats().Evacuated) })
 	set.NewGauge("beaconpoint_worker_speed", func() float64 { return a.stats().Speed })
 	a.startSeconds = set.NewHistogram("beaconpoint_start_call_seconds")
 	a.renewSeconds = set.NewHistogram("beaconpoint_hold_call_seconds")
--- a/node/outside.go
+++ b/node/outside.go
@@ -23,6 +23,7 @@
 	"context"
 	"time"
 
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/routing"
 	"github.com/beaconpoint/beaconpoint/supervisor"
@@ -47,19 +48,31 @@
 	List func(ctx context.Context, role peer.Role) ([]Registration, error)
 }
 
-// ConfigSource is where the operators' configuration comes from.
+// ConfigSource is where the operators' configuration comes from, and their requests to
+// evacuate data halls.
 type ConfigSource struct {
-	// Read hands the present document to take and returns the revision to watch
-	// from, zero where there is no document yet.
-	Read func(ctx context.Context, take func(document []byte)) (uint64, error)
+	// Read hands what is there to the observer and returns the revision to watch from,
+	// zero where nothing was ever written.
+	Read func(ctx context.Context, o ConfigObserver) (uint64, error)
 	// Watch waits for changes after a revision, for the given time at most, hands
-	// them to take, and returns the revision to go on from; zero means that the
+	// them to the observer, and returns the revision to go on from; zero means that the
 	// history is gone and Read is due.
-	Watch func(ctx context.Context, at uint64, wait time.Duration, take func(document []byte)) (uint64, error)
+	Watch func(ctx context.Context, at uint64, wait time.Duration, o ConfigObserver) (uint64, error)
 	// Parse decodes a document.
 	Parse func(document []byte) (*routing.Table, error)
 }
 
+// ConfigObserver is told what the operators have written. Each field is set.
+type ConfigObserver struct {
+	// Document is given the configuration.
+	Document func(text []byte)
+	// Evacuations is given all evacuated halls, as they are at a revision.
+	Evacuations func(evacuation.Set)
+	// Evacuation is given one change: the request for a hall was made at the revision, or
+	// taken back there. It comes after all changes of earlier revisions.
+	Evacuation func(revision uint64, hall string, evacuated bool)
+}
+
 // TargetCalls carries orders to the target beside an agent. Each call returns within
 // about a second; a reply without an answer carries the error.
 type TargetCalls struct {
--- a/node/retry_test.go
+++ b/node/retry_test.go
@@ -82,14 +82,14 @@
 // newTestEntry returns an entry whose configuration comes from the store.
 func newTestEntry(s *store) *Entry {
 	source := ConfigSource{
-		Read: func(ctx context.Context, take func([]byte)) (uint64, error) {
+		Read: func(ctx context.Context, o ConfigObserver) (uint64, error) {
 			if err := s.call(ctx); err != nil {
 				return 0, err
 			}
-			take([]byte("1"))
+			o.Document([]byte("1"))
 			return 1, nil
 		},
-		Watch: func(ctx context.Context, at uint64, wait time.Duration, _ func([]byte)) (uint64, error) {
+		Watch: func(ctx context.Context, at uint64, wait time.Duration, _ ConfigObserver) (uint64, error) {
 			if !sleep(ctx, wait) {
 				return at, ctx.Err()
 			}
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -33,6 +33,11 @@
 	watchedSince, usedAt time.Duration
 	specs                peer.Specs // of jobs: which ones the agent remembers
 
+	// heardEvacuations is the revision of the evacuated halls that the agent was told of
+	// on this connection or has told, and evacuated says that its target's hall is one.
+	heardEvacuations uint64
+	evacuated        bool
+
 	profile peer.Profile
 	state   peer.State
 	labels  map[string]bool // of the profile
@@ -81,7 +86,12 @@
 
 // serves reports whether the agent takes work of a service, as far as is known.
 func (a *agent) serves(service string) bool {
-	return a.connected && a.state.Accepting && a.state.Cleared && a.profile.Service == service
+	return a.takesWork() && a.state.Cleared && a.profile.Service == service
+}
+
+// takesWork reports whether the agent takes work at all, as far as is known.
+func (a *agent) takesWork() bool {
+	return a.connected && a.state.Accepting && !a.evacuated
 }
 
 // usable reports whether the agent may be given work of a service at now.
@@ -134,9 +144,14 @@
 		o.byName = insertByName(o.byName, a)
 	}
 	a.connected = true
+	if o.firstConnectedAt == 0 {
+		o.firstConnectedAt = now
+	}
 	a.level = peer.LevelBase
 	a.heardAt = now
 	a.specs = peer.Specs{}
+	a.heardEvacuations = 0
+	a.evacuated = false
 	a.profile = peer.Profile{}
 	a.state = peer.State{}
 	a.pending = nil
@@ -206,6 +221,10 @@
 	if a.level < peer.LevelWatch {
 		o.beginWatch(now, a)
 	}
+	if f.Evacuations != nil {
+		a.heardEvacuations = max(a.heardEvacuations, f.Evacuations.Revision)
+		o.Evacuate(now, *f.Evacuations, a.name)
+	}
 	if f.State != nil {
 		o.updateState(now, a, f.State)
 	}
@@ -226,6 +245,7 @@
 	ejected := st.Health == peer.Ejected && a.state.Health != peer.Ejected
 	a.applyState(st)
 	if st.Profile != nil {
+		o.setEvacuated(a)
 		q := o.queue(a.profile.Service)
 		q.setKnownRate(o.workRate(now, q))
 	}
@@ -253,6 +273,7 @@
 		if !a.dirty {
 			continue // it was lost in the meantime
 		}
+		o.tellEvacuations(a)
 		f := a.out
 		a.out = peer.Frame{}
 		a.dirty = false
--- a/owner/decision_bench_test.go
+++ b/owner/decision_bench_test.go
@@ -17,7 +17,7 @@
 	const jobsPerTick = 1300 * int(TickInterval) / int(time.Second)
 	for _, agents := range []int{11, 70, 240, 1200} {
 		b.Run(fmt.Sprint(agents), func(b *testing.B) {
-			o := NewOwner(slog.New(slog.DiscardHandler))
+			o := newFleet(agents)
 			now := time.Hour
 			var asked []string
 			var orders []task.Order
@@ -28,13 +28,7 @@
 				orders = append(orders, f.Starts...)
 				return 1
 			}
-			state := &peer.State{Profile: &peer.Profile{Service: "trackd", Capacity: task.Needs{CPU: 16000, MemoryMB: 100}},
-				Free: task.Needs{CPU: 8000, MemoryMB: 100}, Speed: 1, Accepting: true, Cleared: true, SeenSeq: 1}
-			for k := range agents {
-				name := fmt.Sprintf("side-%04d", k)
-				o.Connected(now, name)
-				o.Receive(now, name, &peer.Frame{Hello: &peer.Hello{Level: peer.LevelNewest}, State: state})
-			}
+			state := halfFull("")
 			b.ReportAllocs()
 			n := 0
 			for b.Loop() {
@@ -57,3 +51,23 @@
 		})
 	}
 }
+
+// halfFull returns the state of a target in a hall that has half of its room left.
+func halfFull(hall string) *peer.State {
+	return &peer.State{Profile: &peer.Profile{Service: "trackd", Hall: hall, Capacity: task.Needs{CPU: 16000, MemoryMB: 100}},
+		Free: task.Needs{CPU: 8000, MemoryMB: 100}, Speed: 1, Accepting: true, Cleared: true, SeenSeq: 1}
+}
+
+// newFleet returns an owner that is connected to so many agents by turns in three halls,
+// since an hour after its start.
+func newFleet(agents int) *Owner {
+	o := NewOwner(slog.New(slog.DiscardHandler))
+	o.Send = func(string, *peer.Frame) uint64 { return 1 }
+	for k := range agents {
+		name := fmt.Sprintf("side-%04d", k)
+		o.Connected(time.Hour, name)
+		hall := []string{"mtm", "sulph", "tepuke"}[k%3]
+		o.Receive(time.Hour, name, &peer.Frame{Hello: &peer.Hello{Level: peer.LevelNewest}, State: halfFull(hall)})
+	}
+	return o
+}
--- /dev/null
+++ b/owner/evacuation_test.go
@@ -0,0 +1,195 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/evacuation"
+	"github.com/beaconpoint/beaconpoint/peer"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// stateIn has an agent report an empty target in a hall.
+func (b *bench) stateIn(agent, hall string, labels ...string) {
+	b.Receive(b.now, agent, &peer.Frame{State: &peer.State{
+		Profile: &peer.Profile{Target: "i", Service: "trackd", Hall: hall, Labels: labels, Capacity: task.Needs{CPU: 4000, MemoryMB: 100}},
+		Free:    task.Needs{CPU: 4000, MemoryMB: 100}, Speed: 1, Accepting: true, Cleared: true, SeenSeq: b.seq}})
+}
+
+// newHallBench returns an owner whose agents stand in halls of the same names.
+func newHallBench(t *testing.T, halls ...string) *bench {
+	t.Helper()
+	b := newBench(t, halls...)
+	for _, h := range halls {
+		b.stateIn(h, h)
+	}
+	b.wait(2 * hallsKnownTime)
+	return b
+}
+
+// evacuate has the owner hear from the store which halls are evacuated.
+func (b *bench) evacuate(revision uint64, halls ...string) {
+	b.Evacuate(b.now, evacuation.NewSet(revision, halls), "store")
+}
+
+// TestNothingIsOrderedInAnEvacuatedHall: neither orders nor requests for room go there, and
+// its room does not count for the rate.
+func TestNothingIsOrderedInAnEvacuatedHall(t *testing.T) {
+	b := newHallBench(t, "mtm", "sulph")
+	b.submit(jobOf("1", 1))
+	rate := b.queue("trackd").workRate
+	assert.Equal(t, rate, 8.0)
+	b.evacuate(7, "mtm")
+	assert.Equal(t, b.queue("trackd").workRate, rate/2)
+	before := len(b.starts("mtm"))
+	b.submit(jobOf("2", 6))
+	b.wait(100 * ms)
+	assert.Equal(t, len(b.starts("mtm")), before)
+	assert.Assert(t, !b.agents["mtm"].roomRequested && b.agents["sulph"].roomRequested)
+	assert.Equal(t, len(b.starts("sulph"))+before, 4+before)
+
+	b.evacuate(9)
+	assert.Equal(t, len(b.starts("mtm")) > before, true, "the hall was taken back: what waits goes there")
+}
+
+// TestAWatchOfAnEvacuatedTargetEnds: it makes room for the watch of another one.
+func TestAWatchOfAnEvacuatedTargetEnds(t *testing.T) {
+	b := newWatchBench(t, 30)
+	for k, a := range b.byName {
+		b.stateIn(a.name, []string{"mtm", "sulph"}[k%2])
+	}
+	b.submit(jobOf("1", 1))
+	b.wait(40 * ms)
+	assert.Equal(t, len(b.watched), minWatched)
+	b.evacuate(7, "mtm")
+	for _, a := range b.watched {
+		assert.Equal(t, a.profile.Hall, "sulph")
+	}
+	assert.Equal(t, len(b.watched), minWatched)
+}
+
+// TestAnOrderThatWasRejectedForAnEvacuationGoesElsewhereAtOnce: the agent's frame says why,
+// the task loses no attempt, and the refusal of its job would still be true.
+func TestAnOrderThatWasRejectedForAnEvacuationGoesElsewhereAtOnce(t *testing.T) {
+	b := newHallBench(t, "mtm", "sulph")
+	b.submit(jobOf("1", 1))
+	name, other := "mtm", "sulph"
+	if len(b.starts(name)) == 0 {
+		name, other = other, name
+	}
+	o := b.starts(name)[0]
+	set := evacuation.NewSet(7, []string{name})
+	b.Receive(b.now, name, &peer.Frame{Evacuations: &set, Ended: []peer.Ended{{
+		Ref: task.Ref{Task: o.Task, Run: o.Run}, End: task.EndRejected, Reason: code.RunHallEvacuated, TargetFault: true}}})
+	assert.Equal(t, len(b.starts(other)), 1)
+	j := b.jobs["1"]
+	assert.Equal(t, j.steps[0].tasks[0].failures, 0)
+	assert.Equal(t, j.orders, 1)
+}
+
+// TestJobsThatOnlyEvacuatedTargetsMayRunAreRefusedAtOnce: with every hall evacuated, or each
+// one that has the label; with a time to come back. A job that has started goes on.
+func TestJobsThatOnlyEvacuatedTargetsMayRunAreRefusedAtOnce(t *testing.T) {
+	b := newHallBench(t, "mtm", "sulph")
+	b.stateIn("mtm", "mtm", "gpu")
+	b.submit(jobOf("started", 1))
+	b.evacuate(7, "mtm")
+	labelled := jobOf("labelled", 1)
+	labelled.Steps[0].Label = "gpu"
+	b.submit(labelled)
+	assert.Equal(t, b.answers["labelled"].Why, code.JobEvacuated)
+	assert.Equal(t, b.answers["labelled"].Kind, Refused)
+	assert.Assert(t, b.answers["labelled"].Retry >= minReturn)
+	b.submit(jobOf("any", 1))
+	assert.Equal(t, b.answers["any"].Kind, Kind(0))
+
+	b.submit(jobOf("waits", 9))
+	b.submit(jobOf("last", 1)) // no room is left
+	b.evacuate(8, "mtm", "sulph")
+	b.wait(TickInterval)
+	assert.Equal(t, b.answers["last"].Why, code.JobEvacuated)
+	assert.Equal(t, b.answers["started"].Kind, Kind(0))
+	b.submit(jobOf("new", 1))
+	assert.Equal(t, b.answers["new"].Why, code.JobEvacuated)
+}
+
+// TestAnEntryThatHasJustStartedWaitsForOtherHalls: the agents that it knows may not be all.
+func TestAnEntryThatHasJustStartedWaitsForOtherHalls(t *testing.T) {
+	b := newBench(t, "mtm")
+	b.stateIn("mtm", "mtm")
+	b.evacuate(7, "mtm")
+	b.submit(jobOf("1", 1))
+	b.wait(60 * ms)
+	_, answered := b.answers["1"]
+	assert.Assert(t, !answered)
+	b.Connected(b.now, "sulph")
+	b.stateIn("sulph", "sulph")
+	assert.Equal(t, len(b.starts("sulph")), 1)
+}
+
+// TestAnEvacuationIsToldWithTheNextFrame: agents that are in use at once, the others with
+// their next heartbeat, each once; the first frame to an agent that connects has it.
+func TestAnEvacuationIsToldWithTheNextFrame(t *testing.T) {
+	b := newWatchBench(t, 20)
+	b.submit(jobOf("1", 1))
+	b.wait(40 * ms)
+	told := func() int {
+		count := 0
+		for _, a := range b.byName {
+			for _, f := range b.frames[a.name] {
+				if f.Evacuations != nil {
+					assert.DeepEqual(t, *f.Evacuations, evacuation.NewSet(7, []string{"mtm"}))
+					count++
+				}
+			}
+		}
+		return count
+	}
+	b.evacuate(7, "mtm")
+	assert.Equal(t, told(), len(b.watched))
+	b.wait(peer.IdleHeartbeatInterval)
+	b.Heartbeats(b.now)
+	assert.Equal(t, told(), 20)
+	b.Connected(b.now, "new")
+	assert.Equal(t, b.frames["new"][0].Evacuations.Revision, uint64(7))
+}
+
+// TestNewsOfAnAgentReachesTheOthers: an entry that can't reach the store hears it from an
+// agent and hands it on, but not back.
+func TestNewsOfAnAgentReachesTheOthers(t *testing.T) {
+	b := newHallBench(t, "a", "b", "c")
+	b.frames = make(map[string][]*peer.Frame)
+	set := evacuation.NewSet(7, []string{"c"})
+	b.Receive(b.now, "a", &peer.Frame{Evacuations: &set})
+	b.wait(3 * peer.HeartbeatInterval)
+	for name, want := range map[string]int{"a": 0, "b": 1, "c": 1} {
+		count := 0
+		for _, f := range b.frames[name] {
+			if f.Evacuations != nil {
+				count++
+			}
+		}
+		assert.Equal(t, count, want, name)
+	}
+}
+
+// BenchmarkEvacuate tells an entry of an evacuated hall, and of its end.
+func BenchmarkEvacuate(b *testing.B) {
+	for _, agents := range []int{11, 70, 240, 1200} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			o := newFleet(agents)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				halls := []string{"mtm"}
+				if n%2 == 1 {
+					halls = nil
+				}
+				o.Evacuate(time.Hour, evacuation.NewSet(uint64(n+1), halls), "store")
+			}
+		})
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -21,6 +21,7 @@
 //	spec.go        what orders say of a job's spec
 //	comeback.go    when the caller of a job that was not done should come back
 //	retry.go       when a run is stopped, and when and where its task runs again
+//	evacuation.go  which data halls get no work
 //	estimates.go   how long the tasks of a job are likely to take
 //
 // Invariants: a task has at most one run that may still be at work (phases placed
@@ -38,6 +39,7 @@
 
 	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/estimate"
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/stage"
 	"github.com/beaconpoint/beaconpoint/task"
@@ -93,6 +95,10 @@
 
 	link uplink
 
+	evacuations evacuation.Set // the newest that was heard of
+	// firstConnectedAt is when the first agent connected, zero before.
+	firstConnectedAt time.Duration
+
 	callers uint64 // the last number given to a caller
 	stats   Stats
 }
@@ -172,6 +178,9 @@
 	}
 	j.callers[o.callers] = answer
 	o.checkDeadlines(now, j)
+	if o.jobs[spec.ID] == j && !j.started() && o.onlyEvacuated(now, j) {
+		o.giveUp(now, j, code.JobEvacuated)
+	}
 	o.schedule(now, o.queue(spec.Service))
 	return o.callers
 }
@@ -252,18 +261,22 @@
 	for _, j := range o.sortedJobs() {
 		o.checkDeadlines(now, j)
 	}
-	services := slices.Sorted(maps.Keys(o.queues))
-	for _, s := range services {
-		q := o.queues[s]
-		q.usualSpeed = o.usualSpeed(s)
+	o.refuseEvacuated(now)
+	for _, q := range o.sortedQueues() {
+		q.usualSpeed = o.usualSpeed(q.service)
 		q.setWorkRate(o.workRate(now, q))
 		o.refuseHopeless(now, q)
 	}
-	for _, s := range services {
-		o.schedule(now, o.queues[s])
+	for _, q := range o.sortedQueues() {
+		o.schedule(now, q)
 	}
 }
 
+// sortedQueues returns the queues by service, so that histories repeat exactly.
+func (o *Owner) sortedQueues() []*queue {
+	return slices.SortedFunc(maps.Values(o.queues), func(a, b *queue) int { return strings.Compare(a.service, b.service) })
+}
+
 // sortedJobs returns the jobs by id, so that histories repeat exactly.
 func (o *Owner) sortedJobs() []*job {
 	return slices.SortedFunc(maps.Values(o.jobs), func(a, b *job) int { return strings.Compare(a.spec.ID, b.spec.ID) })
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -51,7 +51,11 @@
 // neverReachedTarget reports whether an order that was rejected for the reason was
 // not passed on to the target.
 func neverReachedTarget(why code.Code) bool {
-	return why == code.RunNoRoom || why == code.RunNotTaking || why == code.RunStaleOwner || why == code.RunSpecUnknown
+	switch why {
+	case code.RunNoRoom, code.RunNotTaking, code.RunStaleOwner, code.RunSpecUnknown, code.RunHallEvacuated:
+		return true
+	}
+	return false
 }
 
 // checkOverdue stops a run that has taken far too long.
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/peer"
@@ -83,6 +84,7 @@
 	if now-o.lastJobAt > idleAfter {
 		keep = 0
 	}
+	o.endEvacuatedWatches()
 	for len(o.watched) > keep {
 		a := o.leastUsed(now)
 		if a == nil {
@@ -91,7 +93,7 @@
 		o.endWatch(a)
 	}
 	for len(o.watched) < keep {
-		a := o.unwatched(func(a *agent) bool { return a.connected && a.state.Accepting })
+		a := o.unwatched((*agent).takesWork)
 		if a == nil {
 			break
 		}
@@ -99,6 +101,16 @@
 	}
 }
 
+// endEvacuatedWatches ends the watches of targets in evacuated halls on which nothing of
+// this entry runs: watches of others take their place.
+func (o *Owner) endEvacuatedWatches() {
+	for _, a := range slices.Clone(o.watched) {
+		if a.evacuated && a.level >= peer.LevelWatch && len(a.tasks) == 0 {
+			o.endWatch(a)
+		}
+	}
+}
+
 // leastUsed returns the watched agent whose watch may end and that was used longest ago,
 // or nil. Ejected targets stay watched: somebody must probe them.
 func (o *Owner) leastUsed(now time.Duration) *agent {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/framing"
 	"github.com/beaconpoint/beaconpoint/task"
 )
@@ -50,6 +51,9 @@
 	DocumentZip []byte
 	// AskDocument asks the receiver for its document.
 	AskDocument bool
+	// Evacuations are the evacuated data halls, where the sender knows of a later
+	// revision than it has told or heard on the connection. The version before skips it.
+	Evacuations *evacuation.Set
 
 	// From an entry: runs to start and to stop; the id of the reservation that
 	// this frame uses or gives back, zero for none; and what room it still wants.
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/golden"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
@@ -38,6 +39,10 @@
 		{"either: asks for the configuration", with(func(f *Frame) { f.AskDocument = true })},
 		{"either: hands over the configuration", with(func(f *Frame) { f.Document = []byte(`{"version":12}`) })},
 		{"either: hands over the configuration, compressed", with(func(f *Frame) { f.DocumentZip = []byte{0x1f, 0x8b} })},
+		{"either: data halls are evacuated", with(func(f *Frame) {
+			f.Evacuations = &evacuation.Set{Revision: 71, Halls: []string{"mtm", "sulph"}}
+		})},
+		{"either: no data hall is evacuated any more", with(func(f *Frame) { f.Evacuations = &evacuation.Set{Revision: 90} })},
 		{"entry: starts", with(func(f *Frame) {
 			f.Starts = []task.Order{
 				{Task: id, Run: 2, Spec: "60ms", Needs: task.Needs{CPU: 1600, MemoryMB: 64, GPU: 1}, Estimate: 61 * time.Millisecond,
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -81,6 +81,14 @@
 	s.wake()
 }
 
+// Remove takes a key away as the operator does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+	s.wake()
+}
+
 // Forget drops the history and cuts the watches.
 func (s *Store) Forget() {
 	s.mu.Lock()
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -14,6 +14,10 @@
 
 // Target is one target through all of its incarnations. It implements http.Handler.
 type Target struct {
+	// Hall is the data hall that its heartbeats name. It must not be changed once they
+	// are sent.
+	Hall string
+
 	mux     *http.ServeMux
 	service string
 	cpu     int
@@ -99,7 +103,7 @@
 	if t.draining {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{"service": t.service, "address": "127.0.0.1:1", "zone": "z", "version": "v1",
+	body, err := json.Marshal(map[string]any{"service": t.service, "address": "127.0.0.1:1", "zone": t.Hall, "version": "v1",
 		"slots": 8, "state": state, "capacity": map[string]int{"cpu": t.cpu, "mem_mb": 4096}, "labels": []string{"a"},
 		"clock_ms": t.clock(), "seq": seq})
 	id := t.id()
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -46,11 +46,11 @@
 }
 
 // accepting reports whether the target may be given work: it is known, reports
-// itself, answers, is not draining, holds no run of an earlier agent, and its agent
-// does not stop.
+// itself, answers, is not draining, holds no run of an earlier agent, its data hall is not
+// evacuated, and its agent does not stop.
 func (s *Supervisor) accepting(now time.Duration) bool {
 	t := &s.target
-	return t.report != nil && t.cleared && !t.report.Draining && !s.leaving &&
+	return t.report != nil && t.cleared && !t.report.Draining && !s.leaving && !s.evacuated() &&
 		now-t.reportAt < maxHeartbeatAge && !s.lease.silent(now)
 }
 
@@ -85,6 +85,7 @@
 		t.profile = &p
 	}
 	s.markChanged()
+	s.checkEvacuation(now)
 }
 
 // beginIncarnation starts over with an incarnation that is new here.
--- a/supervisor/log.go
+++ b/supervisor/log.go
@@ -61,6 +61,31 @@
 	s.log(event.TargetDraining, slog.String("target", id))
 }
 
+// logEvacuated says that the target's data hall is evacuated from now on.
+func (s *Supervisor) logEvacuated() {
+	s.log(event.TargetEvacuated,
+		slog.String("target", s.target.id()),
+		slog.String("hall", s.target.report.Hall),
+		slog.Uint64("revision", s.evacuations.Revision),
+		slog.Int("runs", len(s.runs)))
+}
+
+// logReturned says that the evacuation is over.
+func (s *Supervisor) logReturned(now time.Duration) {
+	s.log(event.TargetReturned,
+		slog.String("target", s.target.id()),
+		slog.Uint64("revision", s.evacuations.Revision),
+		event.Milliseconds("evacuated_ms", now-s.evacuatedSince))
+}
+
+// logEmpty says that no run is left on an evacuated target.
+func (s *Supervisor) logEmpty(now time.Duration) {
+	s.log(event.TargetEmpty,
+		slog.String("target", s.target.id()),
+		slog.Uint64("revision", s.evacuations.Revision),
+		event.Milliseconds("after_ms", now-s.evacuatedSince))
+}
+
 // logDeregistered says that the target is shutting down.
 func (s *Supervisor) logDeregistered() {
 	s.log(event.TargetDeregistered,
--- a/supervisor/renewal.go
+++ b/supervisor/renewal.go
@@ -122,6 +122,9 @@
 func (s *Supervisor) applyRunning(now time.Duration, row RunningRow) {
 	r := s.runs[row.Name]
 	if r == nil || r.order.Run != row.Run {
+		if !s.Rules.StopUnknown {
+			return
+		}
 		s.Stop(StopCall{Incarnation: s.target.id(), Name: row.Name, Ref: task.Ref{Run: row.Run}, Token: s.target.token})
 		return
 	}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -99,6 +99,8 @@
 		return code.RunSpecUnknown
 	case !s.leased(now, c):
 		return code.RunStaleOwner
+	case s.evacuated():
+		return code.RunHallEvacuated
 	case !s.accepting(now):
 		return code.RunNotTaking
 	case s.runs[name] != nil:
@@ -271,6 +273,7 @@
 		delete(s.orphanRuns, r.session.name)
 	}
 	s.logEnded(now, r, end, why)
+	s.logIfEmpty(now)
 	s.markChanged()
 }
 
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -39,6 +39,10 @@
 	// roomRequest is what the entry wants, nil where nothing waits there.
 	roomRequest *roomRequest
 
+	// heardEvacuations is the revision of the evacuated halls that the entry was told of
+	// here or has told.
+	heardEvacuations uint64
+
 	told         essentials // that it was sent last
 	stateChanged bool       // since the state was sent last
 	stateSentAt  time.Duration
@@ -131,6 +135,10 @@
 	c.leaseFrom = max(c.leaseFrom, f.Echo)
 	c.seenSeq = f.Seq
 	c.heardAt = now
+	if f.Evacuations != nil {
+		c.heardEvacuations = max(c.heardEvacuations, f.Evacuations.Revision)
+		s.Evacuate(now, *f.Evacuations)
+	}
 	c.setWatch(now, f.Watch)
 	delete(s.room.reservations, f.UsedReservation)
 	for _, order := range f.Starts {
--- a/supervisor/state.go
+++ b/supervisor/state.go
@@ -68,6 +68,7 @@
 		if !c.dirty {
 			continue
 		}
+		s.tellEvacuations(c)
 		f := c.out
 		f.Stamp = now
 		c.sentAt = now
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -30,6 +30,7 @@
 //	health.go       when the target is ejected, and how it comes back
 //	renewal.go      the lists of the target, which alone tell of ends
 //	state.go        what entries are told
+//	evacuation.go   whether the target's data hall is evacuated
 //
 // Invariant of them all: a run keeps its room, and its task stays taken, until it
 // is certain that the target does not and will not work on it.
@@ -39,6 +40,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/stage"
 )
@@ -61,6 +63,10 @@
 	// KeepUnanswered keeps the room and the task of a start that was not answered
 	// until it is certain that it can't take effect any more.
 	KeepUnanswered bool
+	// StopUnknown has runs stopped that this agent did not order.
+	StopUnknown bool
+	// RefuseEvacuated has nothing start on a target whose data hall is evacuated.
+	RefuseEvacuated bool
 }
 
 // DefaultRules returns the rules of a real system.
@@ -71,6 +77,9 @@
 		AwaitCleared:   true,
 		FencingTokens:  true,
 		KeepUnanswered: true,
+		StopUnknown:    true,
+
+		RefuseEvacuated: true,
 	}
 }
 
@@ -98,6 +107,10 @@
 	room    room
 	leaving bool // the agent itself is stopping
 
+	evacuations evacuation.Set // the newest that was heard of
+	// evacuatedSince is since when the target's hall is evacuated, zero: it is not.
+	evacuatedSince time.Duration
+
 	runs     map[string]*run // by the name that the target knows
 	sessions map[ConnID]*session
 	ordered  []*session // the same, by id
@@ -125,6 +138,8 @@
 	FreeCPU int     // in thousandths of a core
 	Ejected int     // 1 while the target is ejected, else 0
 	Speed   float64 // learned, 1 being usual
+	// Evacuated is 1 while the target's data hall is evacuated, else 0.
+	Evacuated int
 }
 
 // Stats returns the present counts.
@@ -133,6 +148,9 @@
 	if s.health.ejected {
 		st.Ejected = 1
 	}
+	if s.evacuated() {
+		st.Evacuated = 1
+	}
 	return st
 }
 
--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -30,6 +30,7 @@
 	entry       *entryProcess
 	incarnation int
 	waiter      uint64
+	leftAt      time.Duration // when it left for good; zero: it did not
 	// Of a workload's job: its class, how long a task and each of its tasks
 	// really take on a target of speed 1, what it is worth, and when it was
 	// first sent.
@@ -80,6 +81,22 @@
 		w.Counts.Calm++
 	}
 	c.send()
+	if w.cfg.Leaving > 0 && w.rng.Float64() < w.cfg.Leaving {
+		w.after(w.upTo(guess), c.leaveForGood)
+	}
+}
+
+// leaveForGood has the caller leave and not come back.
+func (c *client) leaveForGood() {
+	if c.answered || c.entry == nil {
+		return
+	}
+	c.answered = true
+	c.leftAt = c.w.now()
+	if c.calm {
+		c.w.Counts.Calm--
+	}
+	c.leave()
 }
 
 // send submits the job at an entry that is up.
--- a/testutil/fleet/fault.go
+++ b/testutil/fleet/fault.go
@@ -43,8 +43,10 @@
 		a.kill(dark)
 	case FreezeEntry:
 		e.frozen = w.now() + lasts
+		e.disturb(lasts)
 	case FreezeAgent:
 		a.frozen = w.now() + lasts
+		a.disturb(lasts)
 	case CutAgent:
 		w.cutOff(a, nil, lasts)
 	case CutEntry:
@@ -93,6 +95,7 @@
 		if l.a == a && ofAgent || l.e == e && !ofAgent {
 			l.silentToA = l.silentToA || toAgents
 			l.silentToE = l.silentToE || toEntries
+			l.a.disturb(0)
 		}
 	}
 }
@@ -102,6 +105,7 @@
 	for _, l := range w.links {
 		if l.a == a || l.e == e {
 			l.cut = max(l.cut, w.now()+lasts)
+			l.a.disturb(lasts)
 		}
 	}
 }
--- a/testutil/fleet/link.go
+++ b/testutil/fleet/link.go
@@ -37,7 +37,7 @@
 
 // level returns what both sides understand.
 func (l *link) level() peer.Level {
-	if slices.Index(l.w.entries, l.e) < l.w.cfg.OldEntries || slices.Index(l.w.agents, l.a) < l.w.cfg.OldAgents {
+	if l.e.old() || l.a.old() {
 		return peer.LevelBase
 	}
 	return peer.LevelWatch
@@ -226,6 +226,9 @@
 	l.sentAt = l.w.now()
 	sent := *f
 	sent.Seq, sent.Stamp, sent.Echo = l.seq, l.w.now(), l.echoE.At(l.e.tickedAt)
+	if l.level() < peer.LevelWatch {
+		sent.Evacuations = nil // the version before skips it
+	}
 	l.w.sent(l.e.name, &sent)
 	incarnation := l.a.incarnation
 	conn := l.w.conns
@@ -254,6 +257,7 @@
 	sent.Stamp, sent.Echo = l.w.now(), l.echoA
 	if l.level() < peer.LevelWatch {
 		sent.Hello = nil // the version before neither says its level nor looks at it
+		sent.Evacuations = nil
 	}
 	l.w.sent(l.a.name, &sent)
 	incarnation, id := l.e.incarnation, l.id
--- /dev/null
+++ b/testutil/fleet/operator_test.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/supervisor"
+)
+
+// inHalls changes a world into one with two targets in each of three halls, four
+// evacuations, and callers of whom some leave.
+func inHalls(c *Config) {
+	c.Halls, c.Agents, c.Entries = 3, 6, 3
+	c.Evacuations = 4
+	c.Leaving = 0.15
+	c.Interval /= 2
+}
+
+// TestHistoriesWithEvacuations plays evacuations, one or several at once, among all other
+// troubles, while some entries can't reach the store.
+func TestHistoriesWithEvacuations(t *testing.T) {
+	playHistories(t, 6000, 200, inHalls)
+	playHistories(t, 6300, 40, func(c *Config) { inHalls(c); c.OldEntries = 1 })
+	playHistories(t, 6400, 40, func(c *Config) { inHalls(c); c.OldAgents = 2 })
+	playHistories(t, 6500, 60, func(c *Config) {
+		inHalls(c)
+		c.Kinds, c.Faults = []Kind{KillEntry, KillAgent, CutEntry, CutAgent, SilenceConnections}, 12
+	})
+}
+
+// TestAgentsRefuseInEvacuatedHalls takes the agents' refusal out: entries of the version
+// before, which hear of no evacuation, have runs started there.
+func TestAgentsRefuseInEvacuatedHalls(t *testing.T) {
+	for seed := range uint64(100) {
+		cfg := DefaultConfig(seed)
+		inHalls(&cfg)
+		cfg.OldEntries, cfg.Rules.RefuseEvacuated = 1, false
+		w := New(cfg)
+		w.Run()
+		if w.BrokenPromise == Evacuated {
+			t.Logf("seed %d: %s", seed, w.Broken)
+			return
+		}
+	}
+	t.Error("not noticed in 100 histories")
+}
+
+// evacuationWorld returns a busy world of three halls without faults.
+func evacuationWorld(seed uint64, entries, agents int) *World {
+	cfg := PolicyConfig(seed, entries, agents, Tracking(agents, 0.6))
+	cfg.Halls = 3
+	return New(cfg)
+}
+
+// TestAnEvacuationIsInForceAtOnce: 20 ms after the store's answer at the latest entries have
+// heard of it, and what is under way to agents then takes a few more.
+func TestAnEvacuationIsInForceAtOnce(t *testing.T) {
+	w := evacuationWorld(1, 12, 40)
+	w.At(4*time.Second, func() { w.operator.evacuate(hallName(1), 3*time.Second) })
+	w.Run()
+	assert.Equal(t, w.Broken, "")
+	late := w.operator.startedAfter
+	assert.Assert(t, len(late) > 0)
+	assert.Assert(t, slices.Max(late) < 30*time.Millisecond, "%s", slices.Max(late))
+}
+
+// TestAnEvacuationReachesWhomTheStoreDoesNot: one entry hears of it and dies soon after; the
+// others can't reach the store for as long as it lasts. Agents hand the news on.
+func TestAnEvacuationReachesWhomTheStoreDoesNot(t *testing.T) {
+	w := evacuationWorld(2, 4, 12)
+	w.At(4*time.Second, func() {
+		for _, e := range w.entries[1:] {
+			e.deafUntil = w.now() + 8*time.Second
+		}
+		w.operator.evacuate(hallName(1), 6*time.Second)
+	})
+	w.At(4*time.Second+150*time.Millisecond, func() {
+		w.entries[0].deafUntil = w.now() + 8*time.Second
+		w.entries[0].kill(false)
+	})
+	w.At(7*time.Second, func() {
+		for _, e := range w.entries {
+			assert.Assert(t, e.owner.Evacuations().Has(hallName(1)), e.name)
+		}
+	})
+	w.Run()
+	assert.Equal(t, w.Broken, "")
+	assert.Assert(t, slices.Max(w.operator.startedAfter) < 200*time.Millisecond, "%s", slices.Max(w.operator.startedAfter))
+}
+
+// TestWithAllHallsEvacuatedJobsAreRefusedAtOnce: and served again when they are taken back.
+func TestWithAllHallsEvacuatedJobsAreRefusedAtOnce(t *testing.T) {
+	w := evacuationWorld(3, 3, 12)
+	var before, during, after Counts
+	w.At(4*time.Second, func() {
+		for k := range 3 {
+			w.operator.evacuate(hallName(k), 2*time.Second)
+		}
+	})
+	w.At(4500*time.Millisecond, func() { before = w.Counts })
+	w.At(5900*time.Millisecond, func() { during = w.Counts })
+	w.At(7*time.Second, func() { after = w.Counts })
+	w.Run()
+	assert.Equal(t, w.Broken, "")
+	assert.Assert(t, during.Refused-before.Refused > 100, "%+v %+v", before, during)
+	assert.Assert(t, during.Starts-before.Starts == 0, "%d", during.Starts-before.Starts)
+	assert.Assert(t, after.Completed-during.Completed > 50, "%+v %+v", during, after)
+}
+
+// lateStart has a caller submit one job to an agent whose target carries out starts five
+// seconds later and loses stops, leave, and the entry be removed; the agent is replaced, where
+// asked for, by one whose calls arrive. It returns when the job began on the target, or zero,
+// and for how long it was at work.
+func lateStart(t *testing.T, rules supervisor.Rules, replaceAgent bool) (began, atWork time.Duration) {
+	cfg := DefaultConfig(1)
+	cfg.Entries, cfg.Agents, cfg.Faults, cfg.Rules = 1, 1, 0, rules
+	cfg.Length, cfg.Interval, cfg.Guess, cfg.LongGuess = 12*time.Second, time.Hour, 3*time.Second, 3*time.Second
+	w := New(cfg)
+	a := w.agents[0]
+	a.target.startsLateBy = 5 * time.Second
+	w.At(600*time.Millisecond, func() { // the job came at 300 ms
+		assert.Equal(t, len(w.jobs), 1)
+		for _, c := range w.jobs {
+			c.leaveForGood()
+		}
+	})
+	w.At(2*time.Second, func() {
+		w.entries[0].kill(true)
+		w.entries[0].incarnation++ // it does not come back
+	})
+	if replaceAgent {
+		w.At(3*time.Second, func() {
+			a.target.startsLateBy = 0
+			a.kill(true)
+		})
+	}
+	var look func()
+	look = func() {
+		if len(a.target.runs) > 0 {
+			if began == 0 {
+				began = w.now()
+			}
+			atWork += time.Millisecond
+		}
+		w.after(time.Millisecond, look)
+	}
+	w.after(0, look)
+	w.Run()
+	return began, atWork
+}
+
+// TestAnOrderThatIsCarriedOutAfterItsCallerHasLeft: its start's own deadline has passed, so
+// that the target refuses it; and a new agent's fencing token is higher. Without the deadline
+// and the token it begins, and the new agent stops what it did not order. Without any of them
+// it runs on.
+func TestAnOrderThatIsCarriedOutAfterItsCallerHasLeft(t *testing.T) {
+	const stopped = 320 * time.Millisecond // the longest wait of a renewal, the stop, two calls
+	rules := supervisor.DefaultRules()
+	for _, replaced := range []bool{false, true} {
+		began, _ := lateStart(t, rules, replaced)
+		assert.Equal(t, began, time.Duration(0))
+	}
+	rules.TargetLease = time.Hour
+	began, atWork := lateStart(t, rules, false)
+	assert.Assert(t, began > 0 && atWork > 3*stopped, "%s %s", began, atWork)
+	began, _ = lateStart(t, rules, true)
+	assert.Equal(t, began, time.Duration(0))
+	rules.FencingTokens = false
+	began, atWork = lateStart(t, rules, true)
+	assert.Assert(t, began > 0 && atWork < stopped, "%s %s", began, atWork)
+	rules.StopUnknown = false
+	began, atWork = lateStart(t, rules, true)
+	assert.Assert(t, began > 0 && atWork > 3*stopped, "%s %s", began, atWork)
+}
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -21,6 +21,13 @@
 	incarnation int
 	dead        bool
 	frozen      time.Duration // until when
+	// disturbedUntil is until when a fault struck the process or its links.
+	disturbedUntil time.Duration
+}
+
+// disturb records a fault that lasts so long.
+func (p *process) disturb(lasts time.Duration) {
+	p.disturbedUntil = max(p.disturbedUntil, p.w.now()+lasts)
 }
 
 // do lets the process handle something, now or when it is thawed, unless its
@@ -42,6 +49,13 @@
 	clients  map[string]*client
 	tickedAt time.Duration // when the last tick was
 	linkFree time.Duration // when its link has sent all that is queued
+	// deafUntil is until when it can't reach the store.
+	deafUntil time.Duration
+}
+
+// old reports whether the entry is of the version before.
+func (e *entryProcess) old() bool {
+	return slices.Index(e.w.entries, e) < e.w.cfg.OldEntries
 }
 
 // newEntry returns entry k in its first incarnation.
@@ -77,6 +91,7 @@
 		})
 	}
 	tick()
+	e.w.operator.tell(e)
 }
 
 // kill ends the incarnation; another begins in a while. In the dark nobody is told:
@@ -86,6 +101,7 @@
 		return
 	}
 	e.dead = true
+	e.disturb(restartAfter + time.Second)
 	for _, l := range e.w.links {
 		if l.e == e {
 			l.broken(l.e.incarnation, 0, dark)
@@ -114,6 +130,9 @@
 func (w *World) newAgent(k int) *agentProcess {
 	a := &agentProcess{process: process{w: w, name: fmt.Sprintf("side-%d", k)}}
 	a.target = newEmulatedTarget(w, task.Needs{CPU: w.cfg.CPU, MemoryMB: 4096})
+	if w.cfg.Halls > 0 {
+		a.target.hall = hallName(k % w.cfg.Halls)
+	}
 	if len(w.cfg.Speeds) > 0 {
 		a.target.speed = w.cfg.Speeds[k%len(w.cfg.Speeds)]
 	}
@@ -122,6 +141,11 @@
 	return a
 }
 
+// old reports whether the agent is of the version before.
+func (a *agentProcess) old() bool {
+	return slices.Index(a.w.agents, a) < a.w.cfg.OldAgents
+}
+
 // report has the target send its heartbeats for good.
 func (a *agentProcess) report() {
 	if a.target.up {
@@ -150,6 +174,10 @@
 	}
 	s.Start = func(c supervisor.StartCall) {
 		a.w.after(supervisor.StartRetry+time.Millisecond, func() { a.do(incarnation, func() { s.Tick(a.w.now()) }) })
+		if late := a.target.startsLateBy; late > 0 {
+			a.w.after(late, func() { a.target.start(c) })
+			return
+		}
 		a.target.call(c.Incarnation, orderTimeout, func() supervisor.Reply { return a.target.start(c) }, func(r supervisor.Reply) {
 			a.do(incarnation, func() { s.StartAnswered(a.w.now(), c, r); a.scheduleFlush() })
 		})
@@ -160,6 +188,9 @@
 		})
 	}
 	s.Stop = func(c supervisor.StopCall) {
+		if a.target.startsLateBy > 0 {
+			return
+		}
 		a.target.call(c.Incarnation, orderTimeout, func() supervisor.Reply { return a.target.stop(c) }, func(r supervisor.Reply) {
 			a.do(incarnation, func() { s.StopAnswered(a.w.now(), c, r) })
 		})
@@ -244,6 +275,7 @@
 		return
 	}
 	a.dead = true
+	a.disturb(restartAfter + time.Second)
 	for _, l := range a.w.links {
 		if l.a == a {
 			l.broken(0, l.a.incarnation, dark)
--- a/testutil/fleet/promise.go
+++ b/testutil/fleet/promise.go
@@ -11,6 +11,8 @@
 	OneRun          Promise = "a task has one run at a time"
 	WithinRoom      Promise = "a target gets no more than its room"
 	DrainedInPeace  Promise = "a draining target gets nothing new"
+	Evacuated       Promise = "an evacuated hall gets nothing new"
+	EndsWhenLeft    Promise = "what nobody waits for ends"
 	AskedFor        Promise = "only what a caller asked for runs"
 	StepsInOrder    Promise = "a step waits for those that it depends on"
 	TrueCompletion  Promise = "the tasks of a completed job are done"
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -43,6 +43,7 @@
 type emulatedTarget struct {
 	w            *World
 	id           string
+	hall         string
 	incarnations int
 	up           bool
 	rate         float64       // of its clock, against the world's
@@ -57,6 +58,9 @@
 	highest      map[string]int        // by task, the last run that was stopped or ended
 	draining     time.Duration         // when the agent was told; zero: not yet
 	behaviour    Behaviour
+	// startsLateBy is how much later than told starts are carried out, unanswered; stops get
+	// lost meanwhile.
+	startsLateBy time.Duration
 	polls        []func() bool // renewals that wait for an end
 }
 
@@ -64,7 +68,8 @@
 type emulatedRun struct {
 	order task.Order
 	name  string
-	left  bool // is over
+	left  bool // was stopped
+	over  bool // has ended
 }
 
 // newEmulatedTarget returns a target in its first incarnation.
@@ -94,6 +99,9 @@
 // crash ends the incarnation with all that runs.
 func (e *emulatedTarget) crash() {
 	e.up = false
+	for _, r := range e.runs {
+		r.over = true
+	}
 	e.runs = make(map[string]*emulatedRun)
 	e.incarnations++
 }
@@ -105,7 +113,7 @@
 
 // report returns what a heartbeat says.
 func (e *emulatedTarget) report(seq uint64) supervisor.Report {
-	return supervisor.Report{ID: e.id, Service: service, Capacity: e.capacity, Draining: e.draining > 0,
+	return supervisor.Report{ID: e.id, Service: service, Hall: e.hall, Capacity: e.capacity, Draining: e.draining > 0,
 		Clock: e.clock(), HasClock: true, Seq: seq}
 }
 
@@ -234,6 +242,7 @@
 		return
 	}
 	delete(e.runs, r.name)
+	r.over = true
 	e.highest[r.name] = max(e.highest[r.name], r.order.Run)
 	e.count++
 	e.ended = append(e.ended, supervisor.EndedRow{N: e.count, Name: r.name, Run: r.order.Run, End: end})
--- a/testutil/fleet/world.go
+++ b/testutil/fleet/world.go
@@ -59,6 +59,11 @@
 	// OldEntries and OldAgents are how many processes are of the version before, which
 	// knows no watches.
 	OldEntries, OldAgents int
+	// Halls is how many data halls the targets stand in by turns, zero meaning that no hall
+	// is known; Evacuations is how many times one of them is evacuated.
+	Halls, Evacuations int
+	// Leaving is the share of the callers that leave for good before their job is done.
+	Leaving float64
 	// Patience is how long callers wait; Guess the usual length of the tasks
 	// of most jobs, LongGuess of the others.
 	Patience, Guess, LongGuess time.Duration
@@ -107,6 +112,7 @@
 	linkOf       map[pair]*link
 	incarnations int
 	conns        uint64
+	operator     *operator
 	hopeless     map[string]bool // jobs whose tasks always fail
 	jobs         map[string]*client
 	Counts       Counts
@@ -141,6 +147,7 @@
 		jobs:     make(map[string]*client),
 		linkOf:   make(map[pair]*link),
 	}
+	w.operator = newOperator(w)
 	for k := range cfg.Entries {
 		w.entries = append(w.entries, w.newEntry(k))
 	}
@@ -231,16 +238,49 @@
 	if e.draining > 0 && w.now() > e.draining+drainTime {
 		w.breaks(DrainedInPeace, "%s on %s", r.name, e.id)
 	}
+	w.checkLeft(r)
 	for _, a := range w.agents {
+		if a.target == e {
+			w.operator.checkStart(a, r.name)
+		}
 		if a.target.up && a.target.runs[r.name] != nil {
 			w.breaks(OneRun, "%s on %s runs on %s", r.name, e.id, a.target.id)
 		}
 	}
 }
 
+// endTime is how long after its caller has left, or after its start where that came later,
+// a run may be at work: the callers' connection (3 ms), an entry that is silent for its
+// lease, the target's lease on a slow clock, the stop, and as much again for what is late.
+// The platform's pages allow 4 s and more.
+const endTime = 3 * time.Second
+
+// checkLeft checks, a while after its start, that a run has ended whose caller has left.
+func (w *World) checkLeft(r *emulatedRun) {
+	c := w.jobs[r.order.Task.Job]
+	if w.cfg.Leaving == 0 {
+		return
+	}
+	var look func()
+	look = func() {
+		if r.over {
+			return
+		}
+		if c.leftAt > 0 && w.now()-c.leftAt > endTime {
+			w.breaks(EndsWhenLeft, "%s is at work %s after its caller has left", r.name, w.now()-c.leftAt)
+			return
+		}
+		w.after(endTime, look)
+	}
+	w.after(endTime, look)
+}
+
 // roomFor reports whether a target has room now for a task of a job that has not started.
 func (w *World) roomFor(spec task.Job) bool {
 	for _, a := range w.agents {
+		if w.operator.set.Has(a.target.hall) {
+			continue
+		}
 		free := a.target.capacity
 		for _, r := range a.target.runs {
 			free = free.Minus(r.order.Needs)
--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -109,9 +109,25 @@
 		"services":[{"name":%q}],"limits":{"max_body_bytes":4096}}`, version, Host, prefix, Service, Service))
 }
 
+// HallOf returns the data hall of target k: each stands in one of its own.
+func HallOf(k int) string {
+	return fmt.Sprintf("hall-%d", k)
+}
+
+// Evacuate asks that the hall of target k be evacuated.
+func (s *System) Evacuate(k int) {
+	s.Store.Put("op/evacuate/"+HallOf(k), []byte(`{}`))
+}
+
+// TakeBack ends the evacuation of the hall of target k.
+func (s *System) TakeBack(k int) {
+	s.Store.Remove("op/evacuate/" + HallOf(k))
+}
+
 // addAgent starts agent k with its target, which sends heartbeats until the test ends.
 func (s *System) addAgent(k int) {
 	w := target.NewTarget(Service, 4000)
+	w.Hall = HallOf(k)
 	server := httptest.NewServer(s.wrap(w))
 	s.tb.Cleanup(server.Close)
 	s.Targets = append(s.Targets, w)
