Cold targets count as slower, ever less; evacuations in scenes of the emulator

Cause: a target says for how long it is cold (cold_remaining_ms); nobody read it. Its runs made it look slow: it was ejected, and its usual speed was spoiled.

Change: an agent learns apart how much slower it is while cold and reports a speed that rises with the time left; what is expected of a cold target counts neither against its health nor for its usual speed. No part of the wire is new.

--- a/event/event.go
+++ b/event/event.go
@@ -71,6 +71,7 @@
 	TargetEvacuated       Kind = "target-evacuated"
 	TargetReturned        Kind = "target-returned"
 	TargetEmpty           Kind = "target-empty"
+	TargetCold            Kind = "target-cold"
 	TargetHealth          Kind = "target-health"
 	TargetLosingReplies   Kind = "target-losing-replies"
 	RenewalFailed         Kind = "renewal-failed"
@@ -142,6 +143,7 @@
 	{TargetEvacuated, false, "The target's data hall is evacuated, by the request of that revision: it gets no new run; those there go on."},
 	{TargetReturned, false, "The evacuation was taken back, after so long: the target takes work again."},
 	{TargetEmpty, false, "The last run on a target in an evacuated hall has ended, so long after the request came into force here."},
+	{TargetCold, false, "The target is cold for so long: it counts as slower, ever less, by what was learned of cold targets."},
 	{TargetHealth, false, "The target was ejected, or has recovered."},
 	{TargetLosingReplies, false, "The target left a call unanswered and answers others: a second renewal is kept under way."},
 	{RenewalFailed, false, "A renewal of the target's lease was not accepted, the first in a row: why, or the error."},
--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -119,6 +119,7 @@
 	Labels   []string
 	Capacity task.Needs
 	Draining bool
+	Cold     time.Duration // for how much longer the target is slow from its start
 	Clock    time.Duration // the target's own, where HasClock says so
 	HasClock bool
 	Seq      uint64 // rises with each report of an incarnation
--- /dev/null
+++ b/supervisor/cold_test.go
@@ -0,0 +1,52 @@
+package supervisor
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// TestAColdTargetWarmsUp: its speed rises without a step, and a later heartbeat that says
+// less left than expected makes no step back.
+func TestAColdTargetWarmsUp(t *testing.T) {
+	b := newBench(t)
+	r := b.report("i-1", 2)
+	r.Cold = 4 * time.Second
+	b.Heartbeat(b.now, r)
+	last := b.speed(b.now)
+	assert.Assert(t, math.Abs(last-1/priorColdSlowdown) < 0.001, "%f", last)
+	for range 40 {
+		b.now += 100 * ms
+		speed := b.speed(b.now)
+		assert.Assert(t, speed > last && speed < last+0.03, "%f after %f", speed, last)
+		last = speed
+	}
+	assert.Equal(t, b.speed(b.now), 1.0)
+}
+
+// TestColdRunsSpoilNothing: runs that take as long as a cold target needs neither eject it
+// nor change its usual speed, and the slowdown is learned.
+func TestColdRunsSpoilNothing(t *testing.T) {
+	b := newBench(t)
+	slow := math.Exp(b.warmth.slowdown)
+	for k := range 60 {
+		r := b.report("i-1", uint64(k+2))
+		r.Cold = time.Hour
+		b.Heartbeat(b.now, r)
+		o := order(0, 1000)
+		o.Task = task.ID{Job: fmt.Sprintf("%016x", k)}
+		b.orders(o)
+		assert.Equal(t, len(b.starts), k+1)
+		b.StartAnswered(b.now, b.starts[len(b.starts)-1], b.reply(Accepted))
+		b.beat(400 * ms) // four times its estimate
+		b.list(nil, []EndedRow{{N: uint64(k + 1), Name: o.Task.String(), Run: 1, End: task.EndDone}})
+		assert.Assert(t, !b.health.ejected, "after %d runs", k)
+	}
+	assert.Equal(t, b.health.slowness, 0.0)
+	assert.Assert(t, math.Exp(b.warmth.slowdown) > 1.8*slow, "%f", math.Exp(b.warmth.slowdown))
+}
--- a/supervisor/health.go
+++ b/supervisor/health.go
@@ -134,6 +134,10 @@
 		usual:      logRatio(max(most, minRunTime), r.order.Estimate),
 		usualKnown: end == task.EndDone && most-least < most/maxUncertaintyShare,
 	}
+	if r.coldness > 0 { // what is expected of a cold target is no fault, and says little of it
+		e.ratio -= r.coldSlowness
+		e.usualKnown = false
+	}
 	if e.failed && r.order.FailedElsewhere {
 		return false // it says nothing of this target
 	}
@@ -246,7 +250,7 @@
 	overdue, atWork := make(map[string]bool), make(map[string]bool)
 	for _, r := range running {
 		atWork[r.order.Task.Job] = true
-		if listedAt-r.began > h.overdueAfter(r.order) {
+		if listedAt-r.began > h.overdueAfter(r.order, r.coldSlowness) {
 			overdue[r.order.Task.Job] = true
 		}
 	}
@@ -256,9 +260,10 @@
 	return false
 }
 
-// overdueAfter returns how long after its start a run is overdue.
-func (h *health) overdueAfter(o task.Order) time.Duration {
-	likely := float64(o.Estimate) * math.Exp(h.slowness)
+// overdueAfter returns how long after its start a run is overdue, which began on a target
+// that was so much slower for being cold.
+func (h *health) overdueAfter(o task.Order, coldSlowness float64) time.Duration {
+	likely := float64(o.Estimate) * math.Exp(h.slowness+coldSlowness)
 	factor := max(ejectOverdueFactor, math.Exp(ejectOverdueDeviations*h.baseline.spread()))
 	return time.Duration(factor*likely) + ejectOverdueSlack
 }
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -78,6 +78,10 @@
 	if r.HasClock && !s.lease.clock.known {
 		s.lease.clock.update(r.Clock, now)
 	}
+	if before := s.warmth.coldness(now); r.Cold > 0 && before == 0 {
+		s.logCold(r)
+	}
+	s.warmth.report(now, r.Cold)
 	r.Draining = r.Draining || t.report.Draining
 	t.report = &r
 	t.reportAt = now
@@ -134,6 +138,7 @@
 	s.target.lastSeen = 0
 	s.lease.end()
 	s.health = newHealth()
+	s.warmth.report(now, 0) // what was learned of cold targets stays
 	s.markChanged()
 }
 
--- a/supervisor/log.go
+++ b/supervisor/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
@@ -86,6 +87,14 @@
 		event.Milliseconds("after_ms", now-s.evacuatedSince))
 }
 
+// logCold says that the target is slow for a while.
+func (s *Supervisor) logCold(r Report) {
+	s.log(event.TargetCold,
+		slog.String("target", r.ID),
+		event.Milliseconds("left_ms", r.Cold),
+		slog.Float64("slowdown", math.Exp(s.warmth.slowdown)))
+}
+
 // logDeregistered says that the target is shutting down.
 func (s *Supervisor) logDeregistered() {
 	s.log(event.TargetDeregistered,
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -38,6 +38,9 @@
 	began    time.Duration // when the start was answered; before, when it was ordered
 	endBy    time.Duration // when it is stopped at the latest; zero: never
 	probe    bool          // it began while the target was ejected
+	// coldness is how cold the target was when it began, and coldSlowness the logarithm of
+	// how many times as long it was expected to take for that.
+	coldness, coldSlowness float64
 	// awaitsSpecUntil is until when the spec may take to come from another agent; zero
 	// where it is known. Until then no start is sent.
 	awaitsSpecUntil time.Duration
@@ -83,6 +86,7 @@
 	s.room.used = s.room.used.Plus(order.Needs)
 	s.markChanged()
 	r.probe = s.health.recordStart(now)
+	r.coldness, r.coldSlowness = s.warmth.coldness(now), s.warmth.slowness(now)
 	if spec == specElsewhere {
 		s.awaitSpec(now, r)
 		return
@@ -281,6 +285,9 @@
 // the end is the target's fault and not the task's.
 func (s *Supervisor) recordHealth(now time.Duration, r *run, end task.End) bool {
 	targetFault := end != task.EndFailed
+	if r.answered && end == task.EndDone && !s.health.ejected {
+		s.warmth.learn(r.coldness, logRatio(max(now-r.began, minRunTime), r.order.Guess)-s.health.slowness)
+	}
 	if r.answered && (end == task.EndDone || end == task.EndFailed) {
 		if s.health.recordEnd(r, end, max(0, s.lease.listedBefore-r.began), now-r.began) {
 			s.announceHealth()
--- a/supervisor/state.go
+++ b/supervisor/state.go
@@ -95,7 +95,7 @@
 		st.Profile = s.target.profile
 	}
 	st.Free = s.freeRoom(now, c)
-	st.Speed = s.health.speed()
+	st.Speed = s.speed(now)
 	if told.ejected {
 		st.Health = peer.Ejected
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -28,6 +28,7 @@
 //	spec.go         specs that orders leave out
 //	reservation.go  room: never more in use and reserved than there is
 //	health.go       when the target is ejected, and how it comes back
+//	cold.go         how much slower the target is for being cold
 //	renewal.go      the lists of the target, which alone tell of ends
 //	state.go        what entries are told
 //	evacuation.go   whether the target's data hall is evacuated
@@ -38,6 +39,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/evacuation"
@@ -104,6 +106,7 @@
 	target  target
 	lease   lease
 	health  health
+	warmth  warmth
 	room    room
 	leaving bool // the agent itself is stopping
 
@@ -125,6 +128,7 @@
 		Log:        log,
 		Rules:      DefaultRules(),
 		health:     newHealth(),
+		warmth:     newWarmth(),
 		room:       room{reservations: make(map[uint64]*reservation)},
 		runs:       make(map[string]*run),
 		sessions:   make(map[ConnID]*session),
@@ -144,7 +148,7 @@
 
 // Stats returns the present counts.
 func (s *Supervisor) Stats(now time.Duration) Stats {
-	st := Stats{Runs: len(s.runs), FreeCPU: s.freeRoom(now, nil).CPU, Speed: s.health.speed()}
+	st := Stats{Runs: len(s.runs), FreeCPU: s.freeRoom(now, nil).CPU, Speed: s.speed(now)}
 	if s.health.ejected {
 		st.Ejected = 1
 	}
@@ -154,6 +158,11 @@
 	return st
 }
 
+// speed returns how fast a run that begins now is likely to be, 1 being as guessed.
+func (s *Supervisor) speed(now time.Duration) float64 {
+	return s.health.speed() * math.Exp(-s.warmth.slowness(now))
+}
+
 // Idle reports whether no run is left.
 func (s *Supervisor) Idle() bool {
 	return len(s.runs) == 0
--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -14,6 +14,9 @@
 // faultTime is how long after its beginning a fault may be felt.
 const faultTime = 5000 * time.Millisecond
 
+// callerLatency is how long what a caller sends takes to its entry.
+const callerLatency = 3 * time.Millisecond
+
 // client is the caller of one job. Where its connection breaks or no answer comes in
 // time it submits the job again, through any entry.
 type client struct {
@@ -96,7 +99,7 @@
 	if c.calm {
 		c.w.Counts.Calm--
 	}
-	c.leave()
+	c.w.after(callerLatency, c.leave) // what it has sent arrives first
 }
 
 // send submits the job at an entry that is up.
@@ -113,7 +116,7 @@
 	}
 	c.entry, c.incarnation = e, e.incarnation
 	tries := c.tries
-	w.after(3*time.Millisecond, func() {
+	w.after(callerLatency, func() {
 		e.do(c.incarnation, func() {
 			if c.tries != tries {
 				return // the client has gone on meanwhile
@@ -122,7 +125,7 @@
 				if c.calm && a.Kind == owner.Refused && !w.roomFor(c.spec) {
 					w.Counts.CalmFull++
 				}
-				w.after(3*time.Millisecond, func() { c.answer(tries, a) })
+				w.after(callerLatency, func() { c.answer(tries, a) })
 			})
 			e.clients[c.spec.ID] = c
 		})
--- a/testutil/fleet/operator.go
+++ b/testutil/fleet/operator.go
@@ -62,17 +62,27 @@
 	}
 	hall := hallName(o.luck.IntN(o.w.cfg.Halls))
 	lasts := 500*time.Millisecond + time.Duration(o.luck.Int64N(int64(5500*time.Millisecond)))
-	o.evacuate(hall, lasts)
+	o.evacuateCold(hall, lasts, o.luck.IntN(2) == 0)
 }
 
 // evacuate has a hall evacuated for a while.
 func (o *operator) evacuate(hall string, lasts time.Duration) {
+	o.evacuateCold(hall, lasts, false)
+}
+
+// evacuateCold is evacuate for a hall whose targets are cold afterwards, if cold says so.
+func (o *operator) evacuateCold(hall string, lasts time.Duration, cold bool) {
 	if o.set.Has(hall) {
 		return
 	}
 	o.since[hall] = o.w.now()
 	o.change(hall, true)
-	o.w.after(lasts, func() { o.takeBack(hall) })
+	o.w.after(lasts, func() {
+		if cold {
+			o.chill(hall)
+		}
+		o.takeBack(hall)
+	})
 }
 
 // takeBack ends the evacuation of a hall.
@@ -81,6 +91,18 @@
 	o.change(hall, false)
 }
 
+// chill has a hall's targets be cold from now on, and say so.
+func (o *operator) chill(hall string) {
+	for _, a := range o.w.agents {
+		if a.target.hall == hall && a.target.up {
+			a.target.coldUntil = o.w.now() + coldTime
+			a.seq++
+			r := a.target.report(a.seq)
+			a.do(a.incarnation, func() { a.supervisor.Heartbeat(o.w.now(), r) })
+		}
+	}
+}
+
 // change writes a change into the store, which tells the entries.
 func (o *operator) change(hall string, evacuated bool) {
 	o.set = o.set.With(o.set.Revision+1, hall, evacuated)
--- a/testutil/fleet/scene.go
+++ b/testutil/fleet/scene.go
@@ -18,6 +18,8 @@
 	// LinkMbps and SpecBytes are as in Config.
 	LinkMbps  float64
 	SpecBytes int
+	// Halls is how many data halls the targets stand in by turns.
+	Halls int
 	// ComeBack is how long callers that were refused come back; zero: never.
 	ComeBack time.Duration
 	// Trouble begins the trouble; Outages says which targets are of no use meanwhile.
@@ -83,6 +85,25 @@
 	return Scene{Name: name, Load: load, Entries: hugeEntries, Agents: hugeFleet, Trouble: trouble}
 }
 
+// evacuated returns the scene with the first of three halls evacuated for four seconds: a
+// third of the room is gone at once.
+func (s Scene) evacuated(name string) Scene {
+	const lasts = 4 * time.Second
+	s.Name, s.Halls = name, 3
+	s.Trouble = from(func(w *World) { w.operator.evacuate(hallName(0), lasts) })
+	for k := 0; k < s.Agents; k += s.Halls {
+		s.Outages = append(s.Outages, Outage{Target: k, From: troubleAt, To: troubleAt + lasts})
+	}
+	return s
+}
+
+// evacuatedCold is evacuated for a hall whose targets are cold afterwards.
+func (s Scene) evacuatedCold(name string) Scene {
+	s = s.evacuated(name)
+	s.Trouble = from(func(w *World) { w.operator.evacuateCold(hallName(0), 4*time.Second, true) })
+	return s
+}
+
 // shaped returns the scene with a change of its jobs' shape.
 func (s Scene) shaped(name string, change func(*Shape)) Scene {
 	s.Name = name
@@ -164,6 +185,12 @@
 		unequal("unequal targets", 0.75, nil),
 		unequal("unequal targets, burst", 0.75, surge(1.8)),
 		small("overload", 1.2, nil),
+		small("", 0.6, nil).evacuated("a hall is evacuated"),
+		small("", 0.8, nil).evacuated("a hall is evacuated at high load"),
+		small("", 0.8, nil).evacuatedCold("a hall comes back cold"),
+		large("", 0.8, nil).evacuatedCold("a hall comes back cold, large"),
+		large("", 0.8, nil).evacuated("a hall is evacuated at high load, large"),
+		large("all killed, large", 0.75, from((*World).KillAll)),
 		burst.returning("burst, callers come back", 15*time.Second),
 		large("", 0.75, surge(1.8)).returning("burst, large, callers come back", 15*time.Second),
 		burst.shaped("", wild).returning("wild guesses, burst, callers come back", 15*time.Second),
@@ -228,6 +255,7 @@
 	}
 	cfg.ComeBack = s.ComeBack
 	cfg.LinkMbps, cfg.SpecBytes = s.LinkMbps, s.SpecBytes
+	cfg.Halls = s.Halls
 	w := New(cfg)
 	if s.Trouble != nil {
 		s.Trouble(w)
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -14,6 +14,13 @@
 // stopTime is how long a stop takes at most.
 const stopTime = 50 * time.Millisecond
 
+// coldTime is how long a target is cold, and coldSlowdown how many times as long tasks take
+// at first; they take less and less.
+const (
+	coldTime     = 3 * time.Second
+	coldSlowdown = 3.0
+)
+
 // drainTime is how long after it has reported that it drains a target may be given
 // work.
 const drainTime = 2 * time.Second
@@ -58,6 +65,7 @@
 	highest      map[string]int        // by task, the last run that was stopped or ended
 	draining     time.Duration         // when the agent was told; zero: not yet
 	behaviour    Behaviour
+	coldUntil    time.Duration // until when it is cold
 	// startsLateBy is how much later than told starts are carried out, unanswered; stops get
 	// lost meanwhile.
 	startsLateBy time.Duration
@@ -114,6 +122,7 @@
 // report returns what a heartbeat says.
 func (e *emulatedTarget) report(seq uint64) supervisor.Report {
 	return supervisor.Report{ID: e.id, Service: service, Hall: e.hall, Capacity: e.capacity, Draining: e.draining > 0,
+		Cold:  max(0, e.coldUntil-e.w.now()),
 		Clock: e.clock(), HasClock: true, Seq: seq}
 }
 
@@ -192,6 +201,9 @@
 // work lets a run end in its time.
 func (e *emulatedTarget) work(r *emulatedRun) {
 	took := e.length(r)
+	if cold := e.coldUntil - e.w.now(); cold > 0 {
+		took += time.Duration(float64(took) * (coldSlowdown - 1) * float64(cold) / float64(coldTime))
+	}
 	if e.behaviour.Slow > 1 {
 		took = time.Duration(float64(took) * e.behaviour.Slow)
 	}
