--- a/explain/explain.go
+++ b/explain/explain.go
@@ -77,6 +77,9 @@
 	event.TargetIncarnation:     true,
 	event.TargetIncarnationOver: true,
 	event.TargetDraining:        true,
+	event.HallsEvacuated:        true,
+	event.TargetEvacuated:       true,
+	event.TargetCold:            true,
 }
 
 // Job gathers what the logs say about a job, named by its id or by that of a
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -26,3 +26,18 @@
 	_, err := Job("00", []byte("no JSON\n{\"msg\":\"start\"}\n"))
 	assert.ErrorIs(t, err, ErrUnknownJob)
 }
+
+// TestExplainNamesAnEvacuatedHall: of a task that avoided one and of a job that was refused
+// for it.
+func TestExplainNamesAnEvacuatedHall(t *testing.T) {
+	entry := []byte(`{"time":"2026-01-01T00:00:01Z","msg":"job-accepted","node":"edge","job":"aa"}
+{"time":"2026-01-01T00:00:01.1Z","msg":"halls-evacuated","node":"edge","halls":["mtm"],"from":"store"}
+{"time":"2026-01-01T00:00:01.2Z","msg":"task-waits","node":"edge","task":"aa.0.0.0","agent":"side-1","end":"rejected","why":"719 run-hall-evacuated"}
+{"time":"2026-01-01T00:00:01.3Z","msg":"job-answered","node":"edge","job":"aa","kind":4,"why":"813 job-evacuated","age_ms":300,"objective_ms":200}
+`)
+	story, err := Job("aa", entry)
+	assert.NilError(t, err)
+	assert.Equal(t, len(story.Lines), 4)
+	assert.Equal(t, story.Sentence,
+		"aa was answered after 300 ms (objective 200 ms): 813 job-evacuated; 719 run-hall-evacuated at side-1.")
+}
