--- a/owner/decision_bench_test.go
+++ b/owner/decision_bench_test.go
@@ -71,3 +71,47 @@
 	}
 	return o
 }
+
+// BenchmarkRoomRequests is one look at whom to ask for room, while every target is full and
+// jobs wait.
+func BenchmarkRoomRequests(b *testing.B) {
+	for _, agents := range []int{11, 70, 240, 1200} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			o := newFleet(agents)
+			now := time.Hour
+			for k := range 20 {
+				o.Submit(now, jobOf(fmt.Sprint(k), 4), func(Answer) {})
+			}
+			q := o.queue("trackd")
+			for _, a := range o.byName {
+				a.heardAt = now + time.Hour // whenever it is looked at, it was just heard of
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Microsecond
+				o.requestRoom(now, q)
+			}
+		})
+	}
+}
+
+// BenchmarkFirstSecond is the first second of an entry: every agent connects and reports
+// itself, 20 jobs come, and 50 ticks pass.
+func BenchmarkFirstSecond(b *testing.B) {
+	for _, agents := range []int{11, 70, 240, 1200} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				o := newFleet(agents)
+				for k := range int(time.Second / TickInterval) {
+					now := time.Hour + time.Duration(k)*TickInterval
+					if k%2 == 0 {
+						o.Submit(now, jobOf(fmt.Sprint(k), 4), func(Answer) {})
+					}
+					o.Tick(now)
+					o.Heartbeats(now)
+				}
+			}
+		})
+	}
+}
