Files with one job: what happens to an owner, calls to a target, an agent's connections

owner.go and agent.go held the caller's interface, ticks, connections and frames; run.go the calls to the target; node/agent.go the process and its connections. Moved as they were: owner/callers.go, connection.go, tick.go, flush.go; supervisor/starting.go, stopping.go; node/session.go. The ticks of entry and agent stood twice and are one function; so were the emulator's scenes on three fleets.

TestDecisionsAreTheSame: all histories frame by frame as before.

--- a/node/entry.go
+++ b/node/entry.go
@@ -220,17 +220,13 @@
 // tick calls the owner's Tick, sends heartbeats and gives up silent connections until the
 // context ends.
 func (e *Entry) tick(ctx context.Context) {
-	for sleep(ctx, owner.TickInterval) {
-		e.mu.Lock()
-		now := e.clock.now()
-		judge := e.pause.tick(now)
+	ticks(ctx, owner.TickInterval, e.clock, &e.pause, &e.mu, func(now time.Duration, judge bool) {
 		e.owner.Tick(now)
 		e.owner.Heartbeats(now)
 		if judge {
 			e.closeSilent(now)
 		}
-		e.mu.Unlock()
-	}
+	})
 }
 
 // find connects to the agents that the directory names, and registers the entry. The
--- a/node/outside.go
+++ b/node/outside.go
@@ -7,7 +7,7 @@
 // platform fills.
 //
 //	entry.go, agent.go   the processes: what they run, how they stop
-//	link.go              an entry's connections to the agents
+//	link.go, session.go  the connections between them, at the entry and at the agent
 //	introduce.go         how an agent makes itself known to entries
 //	renewal.go           an agent's calls to its target
 //	configure.go         the configuration from the store
--- a/node/pause.go
+++ b/node/pause.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/peer"
@@ -31,3 +33,16 @@
 	p.lastAt = now
 	return now-p.resumedAt >= catchUpTime
 }
+
+// ticks calls do at each interval with the lock held, until the context ends. judge says
+// that the silence of peers may be judged.
+func ticks(
+	ctx context.Context, interval time.Duration, clock steadyClock, p *pause, lock sync.Locker, do func(now time.Duration, judge bool),
+) {
+	for sleep(ctx, interval) {
+		lock.Lock()
+		now := clock.now()
+		do(now, p.tick(now))
+		lock.Unlock()
+	}
+}
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -3,10 +3,8 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/task"
 )
@@ -99,20 +97,6 @@
 	return a.serves(service) && now-a.heardAt <= maxStateAge
 }
 
-// markDirty has a frame sent to a with the next flush.
-func (o *Owner) markDirty(a *agent) {
-	if !a.dirty {
-		a.dirty = true
-		o.dirty = append(o.dirty, a)
-	}
-}
-
-// stop adds the order to stop a run to the next frame to a.
-func (o *Owner) stop(a *agent, ref task.Ref) {
-	a.out.Stops = append(a.out.Stops, ref)
-	o.markDirty(a)
-}
-
 // applyState replaces the state and forgets the pending orders that it includes.
 func (a *agent) applyState(st *peer.State) {
 	if st.Profile != nil {
@@ -133,34 +117,6 @@
 	return slices.DeleteFunc(list, func(b *agent) bool { return a == b })
 }
 
-// Connected records a new connection to an agent. Nothing that was believed of the
-// agent holds any more until its first state.
-func (o *Owner) Connected(now time.Duration, name string) {
-	defer o.flush(now)
-	a := o.agents[name]
-	if a == nil {
-		a = &agent{name: name, tasks: make(map[task.ID]*job)}
-		o.agents[name] = a
-		o.byName = insertByName(o.byName, a)
-	}
-	a.connected = true
-	if o.firstConnectedAt == 0 {
-		o.firstConnectedAt = now
-	}
-	a.level = peer.LevelBase
-	a.heardAt = now
-	a.specs = peer.Specs{}
-	a.heardEvacuations = 0
-	a.evacuated = false
-	a.profile = peer.Profile{}
-	a.state = peer.State{}
-	a.pending = nil
-	a.roomRequested = false
-	a.out = peer.Frame{}
-	o.markDirty(a)
-	o.logAgentConnected(a)
-}
-
 // insertByName inserts a into a list that is sorted by name.
 func insertByName(list []*agent, a *agent) []*agent {
 	k, _ := slices.BinarySearchFunc(list, a.name, func(b *agent, name string) int {
@@ -171,130 +127,3 @@
 	})
 	return slices.Insert(list, k, a)
 }
-
-// Disconnected records that the connection to an agent is lost. Its runs may still
-// be at work until ClearTime after lastSent, when the last frame was sent to it;
-// their tasks wait that long before they are started elsewhere.
-func (o *Owner) Disconnected(now, lastSent time.Duration, name string) {
-	defer o.flush(now)
-	a := o.agents[name]
-	if a == nil || !a.connected {
-		return
-	}
-	a.connected = false
-	o.endWatch(a)
-	a.out = peer.Frame{}
-	a.dirty = false
-	a.clearAt = max(a.clearAt, lastSent+o.ClearTime)
-	for _, id := range a.taskIDs() {
-		a.tasks[id].setPhase(id.Step, id.Index, uncertain)
-	}
-	o.logAgentLost(now, a)
-}
-
-// clearAgent makes the uncertain tasks of a startable again: no run of theirs is
-// at work any more.
-func (o *Owner) clearAgent(now time.Duration, a *agent) {
-	a.clearAt = 0
-	for _, id := range a.taskIDs() {
-		j := a.tasks[id]
-		if j.find(id).phase != uncertain {
-			continue
-		}
-		delete(a.tasks, id)
-		j.setPhase(id.Step, id.Index, waiting)
-		o.requeue(now, j)
-	}
-}
-
-// Receive handles a frame of an agent.
-func (o *Owner) Receive(now time.Duration, name string, f *peer.Frame) {
-	defer o.flush(now)
-	a := o.agents[name]
-	if a == nil || !a.connected {
-		return
-	}
-	a.heardAt = now
-	if f.Hello != nil {
-		a.level = f.Hello.Level
-	}
-	if a.level < peer.LevelWatch {
-		o.beginWatch(now, a)
-	}
-	if f.Evacuations != nil {
-		a.heardEvacuations = max(a.heardEvacuations, f.Evacuations.Revision)
-		o.Evacuate(now, *f.Evacuations, a.name)
-	}
-	if f.State != nil {
-		o.updateState(now, a, f.State)
-	}
-	for _, e := range f.Ended {
-		o.runEnded(now, a, e)
-	}
-	if f.Reservation != nil {
-		o.useReservation(now, a, f.Reservation)
-	}
-	if f.State != nil || len(f.Ended) > 0 {
-		o.schedule(now, o.queue(a.profile.Service))
-	}
-}
-
-// updateState applies a state update from an agent and, if its target was just
-// ejected, stops its runs so that they can be retried elsewhere.
-func (o *Owner) updateState(now time.Duration, a *agent, st *peer.State) {
-	ejected := st.Health == peer.Ejected && a.state.Health != peer.Ejected
-	a.applyState(st)
-	if st.Profile != nil {
-		o.setEvacuated(a)
-		q := o.queue(a.profile.Service)
-		q.setKnownRate(o.workRate(now, q))
-	}
-	if st.Cleared && a.clearAt > 0 {
-		o.clearAgent(now, a)
-	}
-	if !ejected {
-		return
-	}
-	o.logTargetEjected(a)
-	for _, id := range a.taskIDs() {
-		t := a.tasks[id].find(id)
-		if t.phase == placed {
-			o.stopRun(now, a, id, t, code.RunMovedEjected)
-		}
-	}
-}
-
-// flush sends each agent the frame that has collected for it.
-func (o *Owner) flush(now time.Duration) {
-	list := o.dirty
-	o.dirty = nil
-	slices.SortFunc(list, func(a, b *agent) int { return strings.Compare(a.name, b.name) })
-	for _, a := range list {
-		if !a.dirty {
-			continue // it was lost in the meantime
-		}
-		o.tellEvacuations(a)
-		f := a.out
-		a.out = peer.Frame{}
-		a.dirty = false
-		a.sentAt = now
-		o.link.add(now, frameBytes)
-		seq := o.Send(a.name, &f)
-		for k := range a.pending {
-			if a.pending[k].seq == 0 {
-				a.pending[k].seq = seq
-			}
-		}
-	}
-}
-
-// Heartbeats sends an empty frame to each agent that has got none for the interval of its
-// connection, so that this entry's lease there goes on.
-func (o *Owner) Heartbeats(now time.Duration) {
-	for _, a := range o.byName {
-		if a.connected && now-a.sentAt >= peer.Interval(a.used()) {
-			o.markDirty(a)
-		}
-	}
-	o.flush(now)
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,9 +8,15 @@
 //
 // Owner is a state machine without goroutines, clock or sockets. Its process
 // (package node) calls it under one lock and passes the time of its steady clock;
-// package testutil/fleet calls it in virtual time. Each rule that decides is a
-// small function of plain values in a file of its own; docs/decisions.md lists
-// them:
+// package testutil/fleet calls it in virtual time. What happens to it is in four files:
+//
+//	callers.go     jobs come, callers leave
+//	connection.go  what agents tell
+//	tick.go        time has passed
+//	flush.go       what is decided goes out to the agents
+//
+// Each rule that decides is a small function of plain values in a file of its own;
+// docs/decisions.md lists them:
 //
 //	admission.go   whether a job is taken at all
 //	order.go       which waiting job is served first
@@ -31,10 +37,7 @@
 
 import (
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/code"
@@ -42,7 +45,6 @@
 	"github.com/beaconpoint/beaconpoint/evacuation"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/stage"
-	"github.com/beaconpoint/beaconpoint/task"
 )
 
 // ClearTime is how long after the last frame to a lost agent a run that this entry
@@ -149,139 +151,6 @@
 	return len(o.jobs)
 }
 
-// WaitingJobs returns how many jobs of a queue have no task started.
-func (o *Owner) WaitingJobs(queue string) int {
-	count := 0
-	for _, j := range o.jobs {
-		if j.spec.Queue == queue && !j.started() {
-			count++
-		}
-	}
-	return count
-}
-
-// Submit takes a job. A job with the id of one that is owned joins it: both
-// callers get the same answer. answer is called once, possibly before Submit
-// returns, and never after Cancel with the returned number, which names this
-// caller's interest in the job.
-func (o *Owner) Submit(now time.Duration, spec task.Job, answer func(Answer)) uint64 {
-	defer o.flush(now)
-	o.callers++
-	o.lastJobAt = now
-	j := o.jobs[spec.ID]
-	if j == nil {
-		if why := admit(len(o.jobs), o.linkDelay(now, spec)); why != code.OK {
-			o.rejectJob(now, spec, why, answer)
-			return o.callers
-		}
-		j = o.accept(now, spec)
-	}
-	j.callers[o.callers] = answer
-	o.checkDeadlines(now, j)
-	if o.jobs[spec.ID] == j && !j.started() && o.onlyEvacuated(now, j) {
-		o.giveUp(now, j, code.JobEvacuated)
-	}
-	o.schedule(now, o.queue(spec.Service))
-	return o.callers
-}
-
-// rejectJob answers a job for which nothing was allocated.
-func (o *Owner) rejectJob(now time.Duration, spec task.Job, why code.Code, answer func(Answer)) {
-	o.stats.Refused++
-	o.logRejectedJob(spec, why)
-	o.countAnswer(why)
-	retry := RetryAfter
-	if why == code.JobLinkFull {
-		retry = o.link.comeBackAfter(now, spec)
-	}
-	answer(Answer{Kind: Refused, Why: why, Retry: retry})
-}
-
-// accept makes spec a job of this entry and queues it.
-func (o *Owner) accept(now time.Duration, spec task.Job) *job {
-	q := o.queue(spec.Service)
-	j := newJob(now, o.withEstimates(spec, q.usualSpeed))
-	o.setSpreads(j)
-	j.queue = q
-	o.jobs[spec.ID] = j
-	o.stats.Submitted++
-	o.logAccepted(j, spec.Chain())
-	j.clearAt = o.uncertainUntil[spec.ID]
-	if now >= j.clearAt {
-		j.queue.add(now, j)
-	}
-	return j
-}
-
-// Cancel ends one caller's interest in a job. A job that nobody waits for any more
-// is stopped without an answer.
-func (o *Owner) Cancel(now time.Duration, id string, caller uint64) {
-	defer o.flush(now)
-	j := o.jobs[id]
-	if j == nil || j.callers[caller] == nil {
-		return
-	}
-	delete(j.callers, caller)
-	if len(j.callers) > 0 {
-		return
-	}
-	o.stats.Cancelled++
-	o.logCancelled(now, j)
-	o.drop(now, j)
-}
-
-// CancelJob ends a job on a caller's order and answers all who wait for it. It
-// reports whether the job was owned here.
-func (o *Owner) CancelJob(now time.Duration, id string) bool {
-	defer o.flush(now)
-	j := o.jobs[id]
-	if j == nil {
-		return false
-	}
-	o.answer(now, j, Answer{Kind: Cancelled, Why: code.JobCancelled})
-	return true
-}
-
-// Tick acts on everything whose time has come: lost agents that are clear, jobs
-// and runs past their deadlines, refusals, and waiting tasks. It should be called
-// each TickInterval.
-func (o *Owner) Tick(now time.Duration) {
-	defer o.flush(now)
-	for _, a := range o.byName {
-		if !a.connected && a.clearAt > 0 && now >= a.clearAt {
-			o.clearAgent(now, a)
-		}
-	}
-	o.adjustWatches(now)
-	for id, until := range o.uncertainUntil {
-		if now >= until {
-			delete(o.uncertainUntil, id)
-		}
-	}
-	for _, j := range o.sortedJobs() {
-		o.checkDeadlines(now, j)
-	}
-	o.refuseEvacuated(now)
-	for _, q := range o.sortedQueues() {
-		q.usualSpeed = o.usualSpeed(q.service)
-		q.setWorkRate(o.workRate(now, q))
-		o.refuseBehind(now, q)
-	}
-	for _, q := range o.sortedQueues() {
-		o.schedule(now, q)
-	}
-}
-
-// sortedQueues returns the queues by service, so that histories repeat exactly.
-func (o *Owner) sortedQueues() []*queue {
-	return slices.SortedFunc(maps.Values(o.queues), func(a, b *queue) int { return strings.Compare(a.service, b.service) })
-}
-
-// sortedJobs returns the jobs by id, so that histories repeat exactly.
-func (o *Owner) sortedJobs() []*job {
-	return slices.SortedFunc(maps.Values(o.jobs), func(a, b *job) int { return strings.Compare(a.spec.ID, b.spec.ID) })
-}
-
 // queue returns the queue of a service.
 func (o *Owner) queue(service string) *queue {
 	q := o.queues[service]
--- /dev/null
+++ b/supervisor/starting.go
@@ -0,0 +1,66 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/stage"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// Starts: calls to the target, which may be answered, refused, lost or carried out late.
+
+// sendStart sends the start of r to the target.
+func (s *Supervisor) sendStart(now time.Duration, r *run) {
+	r.tries++
+	r.sentAt = now
+	r.deadline = s.lease.grant(now, s.Rules.TargetLease)
+	s.Start(StartCall{Incarnation: s.target.id(), Order: r.order, Deadline: r.deadline, Token: s.target.token})
+}
+
+// StartAnswered handles the answer to a start.
+func (s *Supervisor) StartAnswered(now time.Duration, c StartCall, reply Reply) {
+	defer s.flush(now)
+	s.recordReply(now, c.Incarnation, reply)
+	r := s.runs[c.Order.Task.String()]
+	if r == nil || c.Incarnation != s.target.id() || r.order.Run != c.Order.Run {
+		return
+	}
+	switch reply.Outcome {
+	case Accepted:
+		if !r.answered {
+			r.answered = true
+			s.ObserveStage.Observe(stage.Starting, now-r.began)
+			r.began = now
+		}
+		r.markCannotBegin(now)
+	case NoAnswer:
+		s.recordTimeout(now)
+		s.logStartUnanswered(r, reply)
+		if !s.Rules.KeepUnanswered {
+			s.finish(now, r, task.EndRejected, code.RunAbsent)
+		}
+	case WrongIncarnation:
+		s.wrongIncarnation(now, "start")
+	default:
+		s.startRejected(now, r, reply)
+	}
+}
+
+// startRejected ends r where no earlier try can have begun it. Otherwise the
+// target's lists tell.
+func (s *Supervisor) startRejected(now time.Duration, r *run, reply Reply) {
+	why := reply.Outcome
+	s.logStartRejected(r, reply)
+	if why == RefusedUnhealthy && s.health.recordRefusal(now, r.order.Task.Job) {
+		s.announceHealth()
+	}
+	if why == RefusedToken {
+		s.renewToken(now)
+	}
+	if r.tries > 1 {
+		r.markCannotBegin(now)
+		return
+	}
+	s.finish(now, r, task.EndRejected, why.Code())
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,6 +25,8 @@
 //	lease.go        what the target was promised, and what its silence means
 //	session.go      connections of entries, each with a lease of its own
 //	run.go          one run, from its order until its end is certain
+//	starting.go     calls that start it, and their answers
+//	stopping.go     calls that stop it
 //	spec.go         specs that orders leave out
 //	reservation.go  room: never more in use and reserved than there is
 //	health.go       when the target is ejected, and how it comes back
--- a/testutil/fleet/scene.go
+++ b/testutil/fleet/scene.go
@@ -33,12 +33,8 @@
 	From, To time.Duration
 }
 
-// Sizes of the scenes' fleets.
-const (
-	smallFleet, smallEntries = 11, 3
-	largeFleet, largeEntries = 40, 12
-	hugeFleet, hugeEntries   = 240, 55
-)
+// smallFleet is how many targets a small scene has.
+const smallFleet = 11
 
 // troubleAt is when a scene's trouble begins.
 const troubleAt = 4 * time.Second
@@ -70,19 +66,24 @@
 	return []Outage{{Target: 0, From: troubleAt, To: troubleAt + lasts}}
 }
 
+// scene returns a scene on a fleet.
+func scene(name string, entries, agents int, load float64, trouble func(*World), outages ...Outage) Scene {
+	return Scene{Name: name, Load: load, Entries: entries, Agents: agents, Trouble: trouble, Outages: outages}
+}
+
 // small returns a scene on the small fleet.
 func small(name string, load float64, trouble func(*World), outages ...Outage) Scene {
-	return Scene{Name: name, Load: load, Entries: smallEntries, Agents: smallFleet, Trouble: trouble, Outages: outages}
+	return scene(name, 3, smallFleet, load, trouble, outages...)
 }
 
 // large returns a scene on the large fleet.
 func large(name string, load float64, trouble func(*World)) Scene {
-	return Scene{Name: name, Load: load, Entries: largeEntries, Agents: largeFleet, Trouble: trouble}
+	return scene(name, 12, 40, load, trouble)
 }
 
 // huge returns a scene on the largest fleet.
 func huge(name string, load float64, trouble func(*World)) Scene {
-	return Scene{Name: name, Load: load, Entries: hugeEntries, Agents: hugeFleet, Trouble: trouble}
+	return scene(name, 55, 240, load, trouble)
 }
 
 // evacuated returns the scene with the first of three halls evacuated for four seconds: a
