--- a/seats/trials/capacity_test.go
+++ b/seats/trials/capacity_test.go
@@ -16,7 +16,7 @@
 	"github.com/beaconpoint/beaconpoint/seats/testutil/cluster"
 )
 
-var capacity = flag.Bool("capacity", false, "measure the slopes of docs/CAPACITY.md (some minutes) instead of one small size")
+var capacity = flag.Bool("capacity", false, "measure the slopes of seats/docs/capacity.md (some minutes) instead of one small size")
 
 // clockTick is the unit of processor time in /proc, in seconds.
 const clockTick = 0.01
--- /dev/null
+++ b/testutil/fleet/recovery_bench_test.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// recovery ends all processes at once, 4 s after the beginning, and returns how long after
+// that the first run began on a target that was not under way before, and after how long nine
+// tenths of the usual number of jobs were completed within 200 ms. Processes are back after 20
+// to 1,020 ms.
+func recovery(entries, agents int) (firstStart, fullRate time.Duration) {
+	const span = 200 * time.Millisecond
+	w := New(PolicyConfig(1, entries, agents, Tracking(agents, 0.6)))
+	var killed time.Duration
+	starts, usual, completed := 0, 0, 0
+	w.At(2*time.Second, func() { completed = w.Counts.Completed })
+	w.At(4*time.Second, func() {
+		usual = (w.Counts.Completed - completed) / int(2*time.Second/span)
+		killed = w.now()
+		w.KillAll()
+	})
+	w.At(4*time.Second+restartAfter, func() { starts = w.Counts.Starts })
+	var look func()
+	before := 0
+	look = func() {
+		if firstStart == 0 && starts > 0 && w.Counts.Starts > starts {
+			firstStart = w.now() - killed
+		}
+		if passed := w.now() - killed; passed%span < time.Millisecond {
+			if fullRate == 0 && passed > span && w.Counts.Completed-before >= usual*9/10 {
+				fullRate = passed
+			}
+			before = w.Counts.Completed
+		}
+		w.after(time.Millisecond, look)
+	}
+	w.At(4*time.Second+time.Millisecond, look)
+	w.Run()
+	return firstStart, fullRate
+}
+
+// BenchmarkRecovery says how long a fleet takes after the end of all processes.
+func BenchmarkRecovery(b *testing.B) {
+	for _, size := range []struct{ entries, agents int }{{3, 11}, {12, 70}, {55, 240}, {20, 1200}} {
+		b.Run(fmt.Sprintf("%dx%d", size.entries, size.agents), func(b *testing.B) {
+			var first, full time.Duration
+			for b.Loop() {
+				first, full = recovery(size.entries, size.agents)
+			}
+			b.ReportMetric(float64(first.Milliseconds()), "ms-to-first-start")
+			b.ReportMetric(float64(full.Milliseconds()), "ms-to-full-rate")
+		})
+	}
+}
