A job whose caller has gone already is not started

An entry that is slow reads a request from a connection that is broken already, takes the job and orders its tasks; the server notices the end of the connection only when it gets to run, and the stop takes up to 50 ms more. Meanwhile the caller is at another entry.

Change: before an entry takes a job it lets the server look at the connection, and takes none whose caller has gone. The test fails on the code before.

--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,7 +108,15 @@
 
 // Submit submits a job and returns its answer. When the context ends first, the
 // caller is gone: the job is stopped, and the error is the context's.
+//
+// A connection may break while its request waits to be read. The server notices once it
+// gets to run, which it is given the chance to here: a job whose caller has gone already,
+// and may have submitted it elsewhere, is not started for the time that a stop takes.
 func (e *Entry) Submit(ctx context.Context, j task.Job) (owner.Answer, error) {
+	runtime.Gosched()
+	if err := ctx.Err(); err != nil {
+		return owner.Answer{}, err
+	}
 	defer e.submitted.UpdateDuration(time.Now())
 	answers := make(chan owner.Answer, 1)
 	e.mu.Lock()
--- /dev/null
+++ b/node/submit_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/settings"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// TestAJobWhoseCallerHasGoneIsNotTaken: its connection broke before the job was submitted.
+// Nothing may be started for it: the caller may have submitted it at another entry.
+func TestAJobWhoseCallerHasGoneIsNotTaken(t *testing.T) {
+	e := NewEntry(settings.DefaultNode(), Directory{}, ConfigSource{}, slog.New(slog.DiscardHandler))
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	j := task.Job{ID: "5c0e7a21d94b36f8", Service: "trackd", Attempts: 1, ObjectiveFactor: 1,
+		Steps: []task.Step{{Count: 1, Needs: task.Needs{CPU: 1000}}}}
+	_, err := e.Submit(ctx, j)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, e.Stats().Submitted, uint64(0))
+}
