--- a/doc.go
+++ b/doc.go
@@ -4,6 +4,7 @@
 // Production runs `beaconpoint node`. Read in this order:
 //
 //	task, routing    the model: jobs and runs; queues
+//	evacuation       which data halls get no new work
 //	owner            an entry's decisions: admission, order, placement, refusal, retry
 //	supervisor       an agent's decisions: room, leases, health, what starts
 //	peer, framing    what entries and agents tell each other
