A target that restarts under its id is a new life; other writers' entries and heartbeats name nobody

Cause: calls name an id alone, so that a start sent to the old life of a target could begin in the new one, whose clock reads less: the deadline on the old clock let it run for as long as the target grants a lease, while the entry was told that the run was lost.

Change: `born` is part of the incarnation. Runs of the life before end only when the new one has listed under a higher token. A heartbeat without service, state, number or capacity, or with one that can't be, is refused with a line (heartbeat-refused); before, one without `state` counted as ready, one without `capacity` set the room to nothing. A number that nobody reaches shuts a target out for maxHeartbeatAge only.

--- a/cmd/beaconpoint/node.go
+++ b/cmd/beaconpoint/node.go
@@ -78,7 +78,7 @@
 func newAgentNode(s settings.Node, log *slog.Logger) *node.Agent {
 	store := platform.NewStore(s.Store, log)
 	a := node.NewAgent(s, store.Directory(), platform.NewTargetClient(s.Target).Calls(), log)
-	a.Serve = platform.NewTargetAPI(a, s.Reports).Serve
+	a.Serve = platform.NewTargetAPI(a, s.Reports, log).Serve
 	return a
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -69,6 +69,7 @@
 	TargetIncarnation     Kind = "target-incarnation"
 	TargetIncarnationOver Kind = "target-incarnation-over"
 	HeartbeatHeldUp       Kind = "heartbeat-held-up"
+	HeartbeatRefused      Kind = "heartbeat-refused"
 	DocumentUnreadable    Kind = "document-unreadable"
 	SpecNotFetched        Kind = "spec-not-fetched"
 	SpecNotGiven          Kind = "spec-not-given"
@@ -151,6 +152,7 @@
 	{TargetIncarnation, false, "A heartbeat came from an incarnation of the target that is new here."},
 	{TargetIncarnationOver, false, "A call was answered by another incarnation of the target."},
 	{HeartbeatHeldUp, false, "A heartbeat came late: its incarnation of the target is not the one that answers."},
+	{HeartbeatRefused, false, "A heartbeat could not be read, or lacks or misnames what every target sends, and why: nothing of it counts, and the last one stays."},
 	{DocumentUnreadable, false, "A configuration could not be compressed or decompressed."},
 	{SpecNotFetched, false, "The spec of an order did not come from the agent that the entry named: the order is rejected."},
 	{SpecNotGiven, false, "Another agent asked for a spec, and the answer could not be sent."},
--- a/node/renewal_test.go
+++ b/node/renewal_test.go
@@ -24,7 +24,7 @@
 		renew := func(c supervisor.RenewCall) (supervisor.Reply, *supervisor.RunLists) {
 			calls++
 			switch {
-			case c.Incarnation == "i-2":
+			case c.Incarnation.ID == "i-2":
 				if served.IsZero() {
 					served = time.Now()
 				}
--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -8,9 +8,22 @@
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
+// Incarnation is one life of a target.
+type Incarnation struct {
+	ID string
+	// Born is when it started, in Unix milliseconds by its own time of day; zero where that
+	// is not told. It only tells the lives under one id apart, and orders nothing.
+	Born int64
+}
+
+// is reports whether both are the same life, as far as is told.
+func (i Incarnation) is(o Incarnation) bool {
+	return i.ID == o.ID && (i.Born == o.Born || i.Born == 0 || o.Born == 0)
+}
+
 // StartCall orders the target to start a run.
 type StartCall struct {
-	Incarnation string // that is meant
+	Incarnation Incarnation // that is meant
 	Order       task.Order
 	Deadline    time.Duration // of the lease, on the target's clock
 	Token       uint64        // fencing token
@@ -18,7 +31,7 @@
 
 // StopCall orders the target to stop a run.
 type StopCall struct {
-	Incarnation string
+	Incarnation Incarnation
 	Ref         task.Ref // its task is zero for a run that this agent did not order
 	Name        string   // of the task, as the target knows it
 	Token       uint64
@@ -27,7 +40,7 @@
 // RenewCall renews the target's lease and asks what runs and what has ended. The
 // target may hold back its answer until a run ends (a long poll).
 type RenewCall struct {
-	Incarnation string
+	Incarnation Incarnation
 	Token       uint64
 	Deadline    time.Duration // on the target's clock; zero renews nothing
 	LastSeen    uint64        // number of the last end that was applied
@@ -37,6 +50,8 @@
 
 // RunLists are what the target answers to a renewal.
 type RunLists struct {
+	// Born is that of the incarnation which answers; zero where it is not told.
+	Born    int64
 	Running []RunningRow
 	Ended   []EndedRow
 }
@@ -114,6 +129,7 @@
 // Report is what a target's heartbeat says.
 type Report struct {
 	ID       string // of the incarnation
+	Born     int64  // of the incarnation; zero where it is not told
 	Service  string
 	Hall     string
 	Labels   []string
@@ -125,6 +141,11 @@
 	Seq      uint64 // rises with each report of an incarnation
 }
 
+// incarnation returns which life of the target reports.
+func (r Report) incarnation() Incarnation {
+	return Incarnation{ID: r.ID, Born: r.Born}
+}
+
 // profile returns what entries are told of the target.
 func (r Report) profile() peer.Profile {
 	return peer.Profile{Target: r.ID, Service: r.Service, Hall: r.Hall, Labels: r.Labels, Capacity: r.Capacity}
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -33,8 +33,11 @@
 	// tells. candidateAt is when it came.
 	candidate   *Report
 	candidateAt time.Duration
+	// rebornID is the id under which the target has restarted, while runs of the life before
+	// are left whose end is not certain; else empty.
+	rebornID string
 	// ended are the last incarnations that are known to be over.
-	ended []string
+	ended []Incarnation
 }
 
 // id returns the id of the incarnation, empty where none is known.
@@ -45,6 +48,14 @@
 	return t.report.ID
 }
 
+// incarnation returns the incarnation that is up, the zero one where none is known.
+func (t *target) incarnation() Incarnation {
+	if t.report == nil {
+		return Incarnation{}
+	}
+	return t.report.incarnation()
+}
+
 // accepting reports whether the target may be given work: it is known, reports
 // itself, answers, is not draining, holds no run of an earlier agent, its data hall is not
 // evacuated, and its agent does not stop.
@@ -61,16 +72,18 @@
 	defer s.flush(now)
 	t := &s.target
 	switch {
-	case slices.Contains(t.ended, r.ID):
+	case slices.Contains(t.ended, r.incarnation()):
 		return
 	case t.report == nil:
 		s.beginIncarnation(now, r)
-	case t.report.ID != r.ID:
+	case !t.incarnation().is(r.incarnation()):
 		t.candidate = &r
 		t.candidateAt = now
 		return
-	case r.Seq < t.report.Seq:
-		return
+	case r.Service != t.report.Service:
+		return // no target changes it: another writer's
+	case r.Seq < t.report.Seq && now-t.reportAt < maxHeartbeatAge:
+		return // after that a number which nobody can reach must not shut the target out
 	}
 	if !t.report.Draining && r.Draining {
 		s.logDraining(r.ID)
@@ -95,7 +108,9 @@
 // beginIncarnation starts over with an incarnation that is new here.
 func (s *Supervisor) beginIncarnation(now time.Duration, r Report) {
 	s.logIncarnation(r.ID)
-	s.endIncarnation(now)
+	if s.target.rebornID != r.ID {
+		s.endIncarnation(now)
+	}
 	s.target.report = &r
 	s.lease.begin(now)
 }
@@ -106,6 +121,10 @@
 	if s.target.candidate == nil || !s.lease.silent(now) || !s.lease.expired(now) {
 		return
 	}
+	if s.target.candidate.ID == s.target.id() {
+		s.reborn(now, "heartbeat")
+		return
+	}
 	s.endIncarnation(now)
 	s.beginCandidate(now)
 }
@@ -132,6 +151,12 @@
 	for _, r := range s.sortedRuns() {
 		s.finish(now, r, task.EndLost, code.RunTargetGone)
 	}
+	s.target.rebornID = ""
+	s.forgetIncarnation(now)
+}
+
+// forgetIncarnation forgets all that held for the present incarnation.
+func (s *Supervisor) forgetIncarnation(now time.Duration) {
 	s.target.report = nil
 	s.target.cleared = false
 	s.target.token = 0
@@ -147,12 +172,17 @@
 func (s *Supervisor) wrongIncarnation(now time.Duration, call string) {
 	s.logIncarnationOver(call)
 	t := &s.target
-	t.ended = append(t.ended, t.id())
-	t.ended = t.ended[max(0, len(t.ended)-keptEnded):]
+	t.recordEnded()
 	s.endIncarnation(now)
 	s.beginCandidate(now)
 }
 
+// recordEnded remembers that the present incarnation is over.
+func (t *target) recordEnded() {
+	t.ended = append(t.ended, t.incarnation())
+	t.ended = t.ended[max(0, len(t.ended)-keptEnded):]
+}
+
 // Deregister handles the target's notice that it is shutting down.
 func (s *Supervisor) Deregister(now time.Duration, id string) {
 	defer s.flush(now)
@@ -174,6 +204,7 @@
 	if s.Rules.AwaitCleared && (c.Token != s.target.token || len(l.Running) > 0) {
 		return
 	}
+	s.endReborn(now)
 	s.target.cleared = true
 	s.logServing()
 	s.markChanged()
--- a/supervisor/incarnation_test.go
+++ b/supervisor/incarnation_test.go
@@ -12,7 +12,7 @@
 	c, _ := b.NextRenewal(b.now)
 	b.now += ms
 	outcome := Accepted
-	if c.Incarnation != up {
+	if c.Incarnation.ID != up {
 		outcome = WrongIncarnation
 	}
 	b.RenewalAnswered(b.now, c, b.reply(outcome), &RunLists{Running: b.running()})
--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -126,8 +126,8 @@
 
 // recordReply notes a reply to a call that was meant for an incarnation, if that
 // one is still up.
-func (s *Supervisor) recordReply(now time.Duration, incarnation string, reply Reply) {
-	if incarnation == s.target.id() {
+func (s *Supervisor) recordReply(now time.Duration, i Incarnation, reply Reply) {
+	if i.is(s.target.incarnation()) {
 		s.lease.recordReply(now, reply)
 	}
 }
@@ -145,6 +145,9 @@
 		return
 	}
 	for _, r := range s.sortedRuns() {
+		if r.reborn {
+			continue // the lease of the new life is not known
+		}
 		s.finish(now, r, task.EndLapsed, code.RunTargetSilent)
 	}
 }
--- a/supervisor/renewal.go
+++ b/supervisor/renewal.go
@@ -18,7 +18,7 @@
 	if s.target.report == nil {
 		return RenewCall{}, false
 	}
-	c := RenewCall{Incarnation: s.target.id(), Token: s.target.token, LastSeen: s.target.lastSeen, sent: now}
+	c := RenewCall{Incarnation: s.target.incarnation(), Token: s.target.token, LastSeen: s.target.lastSeen, sent: now}
 	switch {
 	case !s.lease.clock.known: // the answer tells it
 	case !s.target.cleared, s.lease.silent(now):
@@ -37,7 +37,7 @@
 // accepted.
 func (s *Supervisor) RenewalAnswered(now time.Duration, c RenewCall, reply Reply, lists *RunLists) {
 	defer s.flush(now)
-	if c.Incarnation != s.target.id() {
+	if !c.Incarnation.is(s.target.incarnation()) {
 		return
 	}
 	s.lease.recordReply(now, reply)
@@ -47,6 +47,10 @@
 		s.recordTimeout(now)
 	case Accepted:
 		s.lease.failedRenewals = 0
+		if s.rebornSince(lists) {
+			s.reborn(now, "renewal")
+			break
+		}
 		s.dropCandidate(c.sent)
 		s.applyLists(now, c, lists)
 	case RefusedToken:
@@ -125,9 +129,10 @@
 		if !s.Rules.StopUnknown {
 			return
 		}
-		s.Stop(StopCall{Incarnation: s.target.id(), Name: row.Name, Ref: task.Ref{Run: row.Run}, Token: s.target.token})
+		s.Stop(StopCall{Incarnation: s.target.incarnation(), Name: row.Name, Ref: task.Ref{Run: row.Run}, Token: s.target.token})
 		return
 	}
+	r.reborn = false
 	if !r.answered {
 		r.answered = true
 		r.began = now
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -55,6 +55,10 @@
 	cannotBegin      bool
 	cannotBeginSince time.Duration
 
+	// reborn says that the target has restarted under the same id since: the run may be over,
+	// or begin in the new life.
+	reborn bool
+
 	stopping  bool
 	stoppedAt time.Duration // when its stop was decided
 	reason    code.Code     // of the stop
@@ -118,6 +122,9 @@
 // checkRun acts on what has run out of time for r: its entry's lease, its own
 // limit, a stop or a start that was not answered.
 func (s *Supervisor) checkRun(now time.Duration, r *run) {
+	if r.reborn {
+		return // the new life's lists tell
+	}
 	if s.sessions[r.session.id] == r.session && !s.leased(now, r.session) && !r.stopping {
 		s.logOwnerLeaseOver(now, r)
 		s.stop(now, r, code.RunOwnerSilent)
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -15,7 +15,7 @@
 	r.tries++
 	r.sentAt = now
 	r.deadline = s.lease.grant(now, s.Rules.TargetLease)
-	s.Start(StartCall{Incarnation: s.target.id(), Order: r.order, Deadline: r.deadline, Token: s.target.token})
+	s.Start(StartCall{Incarnation: s.target.incarnation(), Order: r.order, Deadline: r.deadline, Token: s.target.token})
 }
 
 // StartAnswered handles the answer to a start.
@@ -23,7 +23,7 @@
 	defer s.flush(now)
 	s.recordReply(now, c.Incarnation, reply)
 	r := s.runs[c.Order.Task.String()]
-	if r == nil || c.Incarnation != s.target.id() || r.order.Run != c.Order.Run {
+	if r == nil || !c.Incarnation.is(s.target.incarnation()) || r.order.Run != c.Order.Run {
 		return
 	}
 	switch reply.Outcome {
--- a/supervisor/stopping.go
+++ b/supervisor/stopping.go
@@ -39,7 +39,7 @@
 func (s *Supervisor) sendStop(now time.Duration, r *run) {
 	r.sentAt = now
 	s.Stop(StopCall{
-		Incarnation: s.target.id(),
+		Incarnation: s.target.incarnation(),
 		Ref:         task.Ref{Task: r.order.Task, Run: r.order.Run},
 		Name:        r.name,
 		Token:       s.target.token,
@@ -51,12 +51,12 @@
 func (s *Supervisor) StopAnswered(now time.Duration, c StopCall, reply Reply) {
 	defer s.flush(now)
 	s.recordReply(now, c.Incarnation, reply)
-	if reply.Outcome == WrongIncarnation && c.Incarnation == s.target.id() {
+	if reply.Outcome == WrongIncarnation && c.Incarnation.is(s.target.incarnation()) {
 		s.wrongIncarnation(now, "stop")
 		return
 	}
 	r := s.runs[c.Name]
-	if r == nil || c.Incarnation != s.target.id() || r.order.Run != c.Ref.Run {
+	if r == nil || !c.Incarnation.is(s.target.incarnation()) || r.order.Run != c.Ref.Run {
 		return
 	}
 	switch reply.Outcome {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -22,6 +22,7 @@
 // The parts, each with its own invariant:
 //
 //	incarnation.go  which incarnation of the target is up, and whether it may get work
+//	reborn.go       a target that restarts under the id it had
 //	lease.go        what the target was promised, and what its silence means
 //	session.go      connections of entries, each with a lease of its own
 //	run.go          one run, from its order until its end is certain
--- a/testutil/fleet/fault.go
+++ b/testutil/fleet/fault.go
@@ -28,6 +28,9 @@
 	// loses power, or one entry can't reach it.
 	LoseHall
 	CutHall
+	// RestartTarget strikes only where it is asked for: a target ends and begins again under
+	// its id.
+	RestartTarget
 )
 
 // fault begins a random fault, which lasts up to 3.2 s.
@@ -77,6 +80,11 @@
 		w.silenceConnections(a, e)
 	case LoseHall:
 		w.loseHall(a.target.hall)
+	case RestartTarget:
+		if a.target.up {
+			a.target.keepsID = true
+			w.crash(a)
+		}
 	case CutHall:
 		w.cutHall(e, a.target.hall, lasts)
 	}
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -50,6 +50,8 @@
 type emulatedTarget struct {
 	w            *World
 	id           string
+	born         int64 // when the incarnation began, in milliseconds of the world
+	keepsID      bool  // the next incarnation has the same id
 	hall         string
 	incarnations int
 	up           bool
@@ -91,7 +93,14 @@
 func (e *emulatedTarget) begin() {
 	e.incarnations++
 	e.w.incarnations++
-	e.id = fmt.Sprintf("i-%d", e.w.incarnations)
+	if e.keepsID {
+		e.keepsID = false
+	} else {
+		e.id = fmt.Sprintf("i-%d", e.w.incarnations)
+	}
+	if !e.w.cfg.UntoldBirths {
+		e.born = int64(e.w.now() / time.Millisecond)
+	}
 	e.up = true
 	e.began = e.w.now()
 	e.deadline = 0
@@ -121,18 +130,18 @@
 
 // report returns what a heartbeat says.
 func (e *emulatedTarget) report(seq uint64) supervisor.Report {
-	return supervisor.Report{ID: e.id, Service: service, Hall: e.hall, Capacity: e.capacity, Draining: e.draining > 0,
+	return supervisor.Report{ID: e.id, Born: e.born, Service: service, Hall: e.hall, Capacity: e.capacity, Draining: e.draining > 0,
 		Cold:  max(0, e.coldUntil-e.w.now()),
 		Clock: e.clock(), HasClock: true, Seq: seq}
 }
 
 // call runs do as a call with the target's behaviour: the answer may be lost, and
 // what is asked may be done later.
-func (e *emulatedTarget) call(incarnation string, timeout time.Duration, do func() supervisor.Reply, answer func(supervisor.Reply)) {
+func (e *emulatedTarget) call(incarnation supervisor.Incarnation, timeout time.Duration, do func() supervisor.Reply, answer func(supervisor.Reply)) {
 	luck := e.w.rng.Float64()
 	none := supervisor.Reply{Outcome: supervisor.NoAnswer}
 	run := func() supervisor.Reply {
-		if e.id != incarnation {
+		if e.id != incarnation.ID {
 			return supervisor.Reply{Outcome: supervisor.WrongIncarnation}
 		}
 		reply := do()
@@ -225,9 +234,9 @@
 	return time.Duration(float64(r.order.Guess) * (0.5 + e.w.rng.Float64()))
 }
 
-// extend lengthens the lease, to a second at most, and has it lapse.
+// extend lengthens the lease, by as much as the platform allows, and has it lapse.
 func (e *emulatedTarget) extend(deadline time.Duration) {
-	deadline = min(deadline, e.clock()+time.Second)
+	deadline = min(deadline, e.clock()+e.w.cfg.HoldMax)
 	if deadline <= e.deadline {
 		return
 	}
@@ -328,7 +337,7 @@
 
 // lists returns the answer to a renewal.
 func (e *emulatedTarget) lists() *supervisor.RunLists {
-	a := &supervisor.RunLists{Ended: slices.Clone(e.ended)}
+	a := &supervisor.RunLists{Born: e.born, Ended: slices.Clone(e.ended)}
 	for _, r := range e.sorted() {
 		a.Running = append(a.Running, supervisor.RunningRow{Name: r.name, Run: r.order.Run})
 	}
--- a/testutil/fleet/world.go
+++ b/testutil/fleet/world.go
@@ -52,6 +52,10 @@
 	// Rules and Clear are the mechanisms under test.
 	Rules supervisor.Rules
 	Clear time.Duration
+	// UntoldBirths has targets not tell when they started.
+	UntoldBirths bool
+	// HoldMax is the longest lease that targets grant.
+	HoldMax time.Duration
 	// LinkMbps is the rate of each entry's link, in megabits a second; zero: without
 	// bound. SpecBytes is the length of the jobs' specs.
 	LinkMbps  float64
@@ -88,7 +92,7 @@
 	return Config{
 		Seed: seed, Entries: 2, Agents: 3,
 		Length: 14 * time.Second, Interval: 180 * time.Millisecond, Calm: 8 * time.Second,
-		CPU: 8000, Faults: 5, Rules: supervisor.DefaultRules(), Clear: owner.ClearTime,
+		CPU: 8000, Faults: 5, HoldMax: time.Second, Rules: supervisor.DefaultRules(), Clear: owner.ClearTime,
 		Homes:    owner.DefaultHomes,
 		Patience: 3 * time.Second, Guess: 150 * time.Millisecond, LongGuess: 700 * time.Millisecond,
 		Log: slog.New(slog.DiscardHandler),
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -133,6 +133,10 @@
 			inHalls(c)
 			c.OldEntries, c.Rules.RefuseEvacuated = 1, false
 		}},
+		{"telling the lives of a target apart", func(c *Config) {
+			rebirths(c)
+			c.UntoldBirths = true
+		}},
 		{"waiting for a cleared target", func(c *Config) {
 			c.Rules.AwaitCleared = false
 			c.Kinds = []Kind{KillAgent, LoseAnswers}
@@ -155,3 +159,15 @@
 		})
 	}
 }
+
+// rebirths are histories in which targets restart under the id that they had, and starts come
+// late or stay unanswered. Targets grant leases of 15 s.
+func rebirths(c *Config) {
+	c.Kinds, c.Faults = []Kind{RestartTarget, DelayOrders, LoseAnswers, KillAgent, CutEntry}, 14
+	c.HoldMax = 15 * time.Second
+}
+
+// TestTargetsThatKeepTheirID plays histories of rebirths.
+func TestTargetsThatKeepTheirID(t *testing.T) {
+	playHistories(t, 8000, 160, rebirths)
+}
--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -141,7 +141,7 @@
 	p := &Process{settings: n, run: func(ctx context.Context) error {
 		log := slog.New(slog.NewTextHandler(io.Discard, nil))
 		a := node.NewAgent(n, platform.NewStore(n.Store, log).Directory(), platform.NewTargetClient(n.Target).Calls(), log)
-		a.Serve = platform.NewTargetAPI(a, n.Reports).Serve
+		a.Serve = platform.NewTargetAPI(a, n.Reports, log).Serve
 		return a.Run(ctx)
 	}}
 	s.Agents = append(s.Agents, p)
