Tasks under which targets crash run alone, and are given up

Cause: nothing counted how often targets crashed under a task.

Half of the targets crashing at one moment makes nobody guilty.

A run whose start was not answered ends as 710 in place of 711 where its incarnation ends: the reason in TestAnUnansweredRunOfARebornTargetIsOver. Metrics and codes: job-crashes (815), run-target-left (720).

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -81,6 +81,8 @@
 	Retry   time.Duration
 	// Ran says that an earlier submission of a job that is granted may have run.
 	Ran bool
+	// Losses is how many runs of a task of it have ended with the loss of their target.
+	Losses int
 }
 
 // Settlement tells a home what became of a job that its sender has claimed or waits for.
@@ -93,6 +95,8 @@
 	// Clear says that no run of the sender's is left, Ran that there may have been one.
 	Clear bool `msgpack:"c"`
 	Ran   bool `msgpack:"n"`
+	// Losses is how many runs of a task have ended with the loss of their target.
+	Losses int `msgpack:"x"`
 }
 
 // Interest tells the entry that has a job who else cares for it.
--- a/claim/registry.go
+++ b/claim/registry.go
@@ -53,6 +53,7 @@
 	// released says that the holder has given the job up without an answer; its runs may
 	// go on until it says that they have ended. ran says that a run of it may have begun.
 	released, ran bool
+	losses        int // of a task, over all submissions so far
 	waiting       []waiter
 
 	answer     Reply // remembered, where its state is Answered
@@ -114,9 +115,9 @@
 // Claim handles a claim of an entry.
 func (g *Registry) Claim(now time.Duration, from Holder, conn ConnID, c Claim) {
 	r := g.records[c.Job]
-	ran := false
+	ran, losses := false, 0
 	if r != nil && (r.over || r.mayComeBack(now)) {
-		ran = r.ran
+		ran, losses = r.ran, r.losses
 		delete(g.records, c.Job)
 		r = nil
 	}
@@ -128,7 +129,7 @@
 	switch {
 	case r == nil:
 		r = g.add(c.Job)
-		r.ran = ran
+		r.ran, r.losses = ran, losses
 		g.held = append(g.held, r)
 		g.stats.Claims++
 		g.grant(now, r, w)
@@ -188,7 +189,7 @@
 	if w.lasts > 0 {
 		r.lapseAt = now + w.lasts + lapseMargin
 	}
-	g.Reply(w.conn, Reply{Job: r.job, State: Granted, Ran: r.ran})
+	g.Reply(w.conn, Reply{Job: r.job, State: Granted, Ran: r.ran, Losses: r.losses})
 }
 
 // takeOver gives the job of an entry that is lost, or has given it up, to another one.
@@ -276,6 +277,7 @@
 	}
 	r.released = true
 	r.ran = r.ran || s.Ran
+	r.losses = max(r.losses, s.Losses)
 	if s.Clear {
 		g.clear(now, r)
 	}
--- a/code/code.go
+++ b/code/code.go
@@ -106,6 +106,7 @@
 	RunTargetRoom      Code = 717
 	RunSpecUnknown     Code = 718
 	RunHallEvacuated   Code = 719
+	RunTargetLeft      Code = 720
 )
 
 // Reasons of an entry's and an agent's judgements (8xx).
@@ -124,6 +125,7 @@
 	RunMovedOverdue Code = 812
 	JobEvacuated    Code = 813
 	JobHallLost     Code = 814
+	JobCrashes      Code = 815
 	TargetFails     Code = 821
 	TargetSlow      Code = 822
 	TargetOverdue   Code = 823
--- a/code/table.go
+++ b/code/table.go
@@ -84,6 +84,7 @@
 	{RunTargetRoom, "run-target-room", http.StatusServiceUnavailable, "The target says that the run does not fit."},
 	{RunSpecUnknown, "run-spec-unknown", http.StatusServiceUnavailable, "The order left out a spec that the agent does not remember."},
 	{RunHallEvacuated, "run-hall-evacuated", http.StatusServiceUnavailable, "The target's data hall is evacuated: nothing new starts there."},
+	{RunTargetLeft, "run-target-left", http.StatusBadGateway, "The target has ended as it had announced, with the run on it."},
 
 	{JobAllDone, "job-all-done", http.StatusOK, "Every task has ended well."},
 	{JobAttempts, "job-attempts", http.StatusOK, "A task has failed as often as its queue allows."},
@@ -99,6 +100,7 @@
 	{RunMovedOverdue, "run-moved-overdue", http.StatusOK, "The run is far past its likely time: it is retried elsewhere."},
 	{JobEvacuated, "job-evacuated", http.StatusServiceUnavailable, "No task was started, and every target that may run the job is in an evacuated data hall."},
 	{JobHallLost, "job-hall-lost", http.StatusGatewayTimeout, "A data hall with a run of the job is lost, and the job can't be done in time once that run is surely over."},
+	{JobCrashes, "job-crashes", http.StatusBadGateway, "Two targets have crashed with a run of one of its tasks at work, or too many were lost with one: the job is given up."},
 	{TargetFails, "target-fails", http.StatusOK, "Runs of several jobs failed there that had not failed elsewhere."},
 	{TargetSlow, "target-slow", http.StatusOK, "The last jobs' runs took far longer than estimated."},
 	{TargetOverdue, "target-overdue", http.StatusOK, "Runs of several jobs are far past their likely time."},
--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,7 @@
 	TaskPlaced         Kind = "task-placed"
 	TaskMoved          Kind = "task-moved"
 	TaskWaits          Kind = "task-waits"
+	TaskSuspect        Kind = "task-suspect"
 	JobAnswered        Kind = "job-answered"
 	JobCancelled       Kind = "job-cancelled"
 	JobJoined          Kind = "job-joined"
@@ -137,6 +138,7 @@
 	{TaskPlaced, true, "A task was ordered at an agent: the age of the agent's state, the room that is left there, how long the job had waited."},
 	{TaskMoved, false, "A run is stopped to be retried elsewhere."},
 	{TaskWaits, true, "A task waits again: how its last run ended."},
+	{TaskSuspect, false, "A target crashed with a run of the task at work: how often that was so. The task runs alone next, and is given up after the second time."},
 	{JobAnswered, false, "The final answer to a job, its age and objective."},
 	{JobCancelled, false, "Nobody waits for the job any more: its runs are stopped."},
 	{JobJoined, false, "Another entry has the job already, or its answer: this one starts nothing and waits for it. From which home it was heard."},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -91,7 +91,8 @@
 // answerCauses are the codes that an entry answers jobs with.
 var answerCauses = []code.Code{
 	code.JobAllDone, code.JobAttempts, code.JobOutOfTime, code.JobTooLate, code.JobCallerLeaves, code.JobCancelled,
-	code.JobUnsupported, code.JobNoConfig, code.JobBehind, code.JobLinkFull, code.JobEvacuated, code.JobHallLost, code.QueueFull,
+	code.JobUnsupported, code.JobNoConfig, code.JobBehind, code.JobLinkFull, code.JobEvacuated, code.JobHallLost, code.JobCrashes,
+	code.QueueFull,
 }
 
 // CountAnswer counts an answer by its cause, also that to a request which is refused
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -56,6 +56,8 @@
 	silentSince time.Duration
 	// wasHome says that jobs could be claimed there, now or before its connection was lost.
 	wasHome bool
+	// stoppedAt is when the target stopped taking work last.
+	stoppedAt time.Duration
 	// ending are the runs of dropped jobs whose end is not known: see ending.go.
 	ending map[task.ID]int
 	// reserved is a reservation that is held for jobs whose claims are under way, nil
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -51,7 +51,11 @@
 	switch r.State {
 	case claim.Granted:
 		j.earlierRun = j.earlierRun || r.Ran
+		j.earlierLosses = max(j.earlierLosses, r.Losses)
 		j.setHomeState(a, granted)
+		if o.lostTooOften(now, j) {
+			return
+		}
 	case claim.Held:
 		o.claimHeld(now, j, a)
 	case claim.Answered:
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -111,6 +111,9 @@
 	for _, e := range f.Ended {
 		o.runEnded(now, a, e)
 	}
+	for _, ref := range f.Crashed {
+		o.runCrashed(now, a, ref)
+	}
 	for _, r := range f.Claimed {
 		o.receiveReply(now, a, r)
 	}
@@ -129,7 +132,9 @@
 // ejected, stops its runs so that they can be retried elsewhere.
 func (o *Owner) updateState(now time.Duration, a *agent, st *peer.State) {
 	ejected := st.Health == peer.Ejected && a.state.Health != peer.Ejected
+	accepted := a.state.Accepting
 	a.applyState(st)
+	a.stoppedTaking(now, accepted)
 	if st.Profile != nil {
 		o.setEvacuated(a)
 		q := o.queue(a.profile.Service)
--- a/owner/ending.go
+++ b/owner/ending.go
@@ -19,6 +19,7 @@
 	homes []*agent // that are told when the last one has ended
 	// wanted says that another entry waits for it.
 	wanted bool
+	losses int // of a task, as the homes are to remember: see suspect.go
 }
 
 // addEnding records a run at a of a job that is dropped.
@@ -46,7 +47,7 @@
 	}
 	delete(o.ending, id.Job)
 	for _, home := range e.homes {
-		o.tellSettled(home, claim.Settlement{Job: id.Job, Clear: true, Ran: true}, e.wanted)
+		o.tellSettled(home, claim.Settlement{Job: id.Job, Clear: true, Ran: true, Losses: e.losses}, e.wanted)
 	}
 	if j := o.jobs[id.Job]; j != nil {
 		o.reclaim(now, j)
--- a/owner/job.go
+++ b/owner/job.go
@@ -35,7 +35,13 @@
 	// the task's own fault and not its target's.
 	failures, taskFailures int
 	tries                  int // runs that may have begun, for logs
-	moves                  int // runs that were stopped because they were overdue
+	losses                 int // runs whose target crashed or fell silent
+	// crashes are those whose target crashed; the next run is one of its own until
+	// aloneUntil: see suspect.go.
+	crashes    []crash
+	aloneUntil time.Duration
+	aloneRuns  []int // numbers of the runs that were alone on their targets
+	moves      int   // runs that were stopped because they were overdue
 	// avoid is an agent at which the task must not run until avoidUntil.
 	avoid      string
 	avoidUntil time.Duration
@@ -78,6 +84,9 @@
 	// earlierRun says that an earlier submission of the job may have run, here or at
 	// another entry.
 	earlierRun bool
+	// earlierLosses is how many runs of a task of earlier submissions ended with the loss of
+	// their target, as its homes remember.
+	earlierLosses int
 	// firstOrder and lastOrder are when the first and the latest order to start a
 	// task was sent; zero: none yet.
 	firstOrder, lastOrder time.Duration
@@ -85,6 +94,7 @@
 	orders    int
 	specAgent string   // the agent that the spec was sent to last
 	failedAt  []string // the agents at which a run of it has failed
+	suspect   bool     // a target has crashed under a task of it
 
 	queue *queue // the queue of its service
 	index int    // in the queue's heap, -1 while it is not in it
--- a/owner/log.go
+++ b/owner/log.go
@@ -78,6 +78,11 @@
 		slog.Int("tries", t.tries))
 }
 
+// logSuspect says that a target crashed under a task.
+func (o *Owner) logSuspect(ref task.Ref, t *taskState, a *agent) {
+	o.log(event.TaskSuspect, slog.String("task", ref.Task.String()), slog.Int("run", ref.Run), slog.String("agent", a.name), slog.Int("crashes", len(t.crashes)))
+}
+
 // logAnswered says how a job was answered.
 func (o *Owner) logAnswered(now time.Duration, j *job, a Answer) {
 	o.log(event.JobAnswered,
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,6 +27,7 @@
 //	spec.go        what orders say of a job's spec
 //	comeback.go    when the caller of a job that was not done should come back
 //	retry.go       when a run is stopped, and when and where its task runs again
+//	suspect.go     tasks under which targets crash
 //	evacuation.go  which data halls get no work
 //	claim.go       whether another entry has a job
 //	home.go        at which agents a job is claimed
--- a/owner/placement.go
+++ b/owner/placement.go
@@ -69,7 +69,7 @@
 	var least float64
 	uncertain := false
 	for _, a := range o.watched {
-		if !a.usable(now, j.spec.Service) || !s.Needs.Fits(a.freeRoom()) || !o.allowed(now, j, step, t, a) {
+		if !a.usable(now, j.spec.Service) || !t.needs(now, s, a).Fits(a.freeRoom()) || !o.allowed(now, j, step, t, a) {
 			continue
 		}
 		if !a.roomCertain() || a.level >= peer.LevelWatch && a.far(s) {
@@ -145,7 +145,7 @@
 		if j == nil {
 			return
 		}
-		if !o.placeAll(now, j) {
+		if !o.placeAll(now, j) && !o.holdSuspect(now, j) {
 			break
 		}
 		q.remove(j)
@@ -188,13 +188,15 @@
 	t.agent = a.name
 	t.sentAt = now
 	t.stopSent = false
+	if t.runsAlone(now) {
+		t.aloneRuns = append(t.aloneRuns, t.run)
+	}
 	id := task.ID{Job: j.spec.ID, Step: step, Index: index}
 	a.tasks[id] = j
 	a.usedAt = now
 	a.out.Starts = append(a.out.Starts, o.order(now, j, id, t.run, a))
 	o.markDirty(a)
-	s := j.spec.Steps[step]
-	a.pending = append(a.pending, pendingOrder{needs: s.Needs}) // flush adds the frame's number
+	a.pending = append(a.pending, pendingOrder{needs: t.needs(now, j.spec.Steps[step], a)}) // flush adds the frame's number
 	o.stats.Starts++
 	o.logPlaced(now, j, id, t, a)
 }
@@ -206,7 +208,7 @@
 		Task:            id,
 		Run:             run,
 		Spec:            j.spec.Spec,
-		Needs:           s.Needs,
+		Needs:           j.find(id).needs(now, s, a),
 		Estimate:        s.Estimate,
 		Guess:           s.Guess,
 		FailedElsewhere: j.failedElsewhere(a.name),
--- a/owner/refusal.go
+++ b/owner/refusal.go
@@ -141,6 +141,9 @@
 		o.giveUp(now, j, why)
 		return
 	}
+	if j.suspect && o.checkSuspects(now, j) {
+		return
+	}
 	for k := range j.steps {
 		for n := range j.steps[k].tasks {
 			o.checkOverdue(now, j, k, n)
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -249,6 +249,8 @@
 	switch {
 	case !ok:
 		return fitsWell
+	case j.steps[step].tasks[index].runsAlone(now):
+		return fitsNot // reserved room is not all of a target's
 	case !o.allowed(now, j, step, &j.steps[step].tasks[index], a):
 		return fitsNot
 	case a.far(j.spec.Steps[step]):
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -125,6 +125,9 @@
 		t.keepAway(a, now+rejectionBackoff)
 	}
 	j.setPhase(id.Step, id.Index, waiting)
+	if e.End != task.EndRejected && o.recordLoss(now, a, j, id, t, e.Reason) {
+		return
+	}
 	o.logWaits(t, a, e)
 	o.requeue(now, j)
 }
--- a/owner/settlement.go
+++ b/owner/settlement.go
@@ -36,6 +36,7 @@
 func (o *Owner) settle(now time.Duration, j *job, a Answer) {
 	s := claim.Settlement{Job: j.spec.ID, Outcome: outcomeOf(a.Kind), Why: a.Why, Retry: a.Retry}
 	s.Ran = s.Outcome == claim.None && j.mayHaveRun()
+	s.Losses = j.losses()
 	e := o.ending[j.spec.ID]
 	s.Clear = e == nil
 	for _, h := range j.homes {
@@ -48,6 +49,7 @@
 	}
 	if e != nil {
 		e.wanted = e.wanted || j.wanted()
+		e.losses = s.Losses
 	}
 }
 
--- a/owner/tick.go
+++ b/owner/tick.go
@@ -30,6 +30,7 @@
 		o.checkDeadlines(now, j)
 	}
 	o.refuseEvacuated(now)
+	o.releaseSuspects(now)
 	for _, q := range o.sortedQueues() {
 		q.usualSpeed = o.usualSpeed(q.service)
 		q.setWorkRate(o.workRate(now, q))
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -79,6 +79,9 @@
 	State       *State
 	Ended       []Ended
 	Reservation *Reservation
+	// Crashed are runs whose ends were told as lapsed, which were at work when the target
+	// crashed, as shows now. The version before skips it.
+	Crashed []task.Ref
 	// Claimed and Interests are what the agent says of jobs as their home.
 	Claimed   []claim.Reply
 	Interests []claim.Interest
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/task"
 )
@@ -149,8 +148,9 @@
 
 // endIncarnation ends the present incarnation and with it all of its runs.
 func (s *Supervisor) endIncarnation(now time.Duration) {
+	s.tellCrashed()
 	for _, r := range s.sortedRuns() {
-		s.finish(now, r, task.EndLost, code.RunTargetGone)
+		s.finish(now, r, task.EndLost, s.target.endOf(r))
 	}
 	s.target.rebornID = ""
 	s.forgetIncarnation(now)
--- a/supervisor/lease.go
+++ b/supervisor/lease.go
@@ -148,6 +148,7 @@
 		if r.reborn {
 			continue // the lease of the new life is not known
 		}
+		s.recordLapsed(r)
 		s.finish(now, r, task.EndLapsed, code.RunTargetSilent)
 	}
 }
--- a/supervisor/reborn.go
+++ b/supervisor/reborn.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
@@ -30,6 +29,7 @@
 	for _, r := range s.runs {
 		r.reborn = true
 	}
+	s.tellCrashed()
 	id, token := s.target.id(), s.target.token
 	s.target.recordEnded()
 	s.forgetIncarnation(now)
@@ -42,7 +42,7 @@
 func (s *Supervisor) endReborn(now time.Duration) {
 	for _, r := range s.sortedRuns() {
 		if r.reborn {
-			s.finish(now, r, task.EndLost, code.RunTargetGone)
+			s.finish(now, r, task.EndLost, s.target.endOf(r))
 		}
 	}
 	s.target.rebornID = ""
--- a/supervisor/renewal.go
+++ b/supervisor/renewal.go
@@ -52,6 +52,7 @@
 			break
 		}
 		s.dropCandidate(c.sent)
+		s.lapsed = nil // it was silent and has not crashed
 		s.applyLists(now, c, lists)
 	case RefusedToken:
 		s.renewToken(now)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -31,6 +31,7 @@
 //	spec.go         specs that orders leave out
 //	reservation.go  room: never more in use and reserved than there is
 //	health.go       when the target is ejected, and how it comes back
+//	crash.go        runs that were at work when the target crashed
 //	cold.go         how much slower the target is for being cold
 //	renewal.go      the lists of the target, which alone tell of ends
 //	state.go        what entries are told
@@ -121,6 +122,8 @@
 	// evacuatedSince is since when the target's hall is evacuated, zero: it is not.
 	evacuatedSince time.Duration
 
+	lapsed []lapsedRun // since the target was last heard from: see crash.go
+
 	runs     map[string]*run // by the name that the target knows
 	sessions map[ConnID]*session
 	ordered  []*session // the same, by id
--- a/testutil/fleet/client.go
+++ b/testutil/fleet/client.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/beaconpoint/beaconpoint/code"
 	"github.com/beaconpoint/beaconpoint/owner"
 	"github.com/beaconpoint/beaconpoint/task"
 )
@@ -32,14 +33,17 @@
 	sends                 int  // submissions
 	away                  bool // refused and not back yet, so that it waits for no answer
 	answered              bool
-	started               bool // a run of it has begun on a target
-	done                  map[task.ID]bool
-	failed                map[task.ID]int // failed runs
-	entry                 *entryProcess
-	incarnation           int
-	waiter                *uint64       // of the last submission; zero before the entry has read it
-	leftAt                time.Duration // when it left for good; zero: it did not
-	again                 bool          // a task of it began that had ended well
+	crashing              bool // its tasks crash each target that starts them
+	// crashed counts the targets that crashed under a task, afterThree its starts after three.
+	crashed, afterThree map[task.ID]int
+	started             bool // a run of it has begun on a target
+	done                map[task.ID]bool
+	failed              map[task.ID]int // failed runs
+	entry               *entryProcess
+	incarnation         int
+	waiter              *uint64       // of the last submission; zero before the entry has read it
+	leftAt              time.Duration // when it left for good; zero: it did not
+	again               bool          // a task of it began that had ended well
 	// Of a workload's job: its class, how long a task and each of its tasks
 	// really take on a target of speed 1, what it is worth, and when it was
 	// first sent.
@@ -233,6 +237,12 @@
 		}
 	case owner.Failed:
 		w.Counts.Failed++
+		if a.Why == code.JobCrashes {
+			if !c.crashing {
+				w.Crashes.InnocentFailed++
+			}
+			return
+		}
 		c.checkFailed()
 	case owner.GivenUp:
 		w.Counts.GivenUp++
--- a/testutil/fleet/fault.go
+++ b/testutil/fleet/fault.go
@@ -184,7 +184,29 @@
 		return
 	}
 	a.target.crash()
-	w.after(500*time.Millisecond+w.upTo(time.Second), a.target.begin)
+	w.after(w.cfg.BackAfter+w.upTo(time.Second), a.target.begin)
+}
+
+// crashUnder crashes a target soon after the start of a run that does so to each target.
+func (w *World) crashUnder(e *emulatedTarget, r *emulatedRun) {
+	incarnations := e.incarnations
+	w.after(time.Duration(w.poison.Int64N(int64(10*time.Millisecond))), func() {
+		if e.incarnations != incarnations || r.over {
+			return
+		}
+		w.Crashes.Targets++
+		w.jobs[r.order.Task.Job].crashed[r.order.Task]++
+		for _, o := range e.runs {
+			if c := w.jobs[o.order.Task.Job]; c != nil && !c.crashing {
+				w.Crashes.InnocentRuns++
+			}
+		}
+		for _, a := range w.agents {
+			if a.target == e {
+				w.crash(a)
+			}
+		}
+	})
 }
 
 // drain has a target report that it drains, and end after a while.
--- a/testutil/fleet/promise.go
+++ b/testutil/fleet/promise.go
@@ -17,6 +17,7 @@
 	StepsInOrder    Promise = "a step waits for those that it depends on"
 	TrueCompletion  Promise = "the tasks of a completed job are done"
 	TrueRefusal     Promise = "a refused job has not run"
+	CrashBudget     Promise = "a task under which three targets have crashed is started twice more at the most"
 	FailedWithCause Promise = "a job fails only after as many failed runs as it may have"
 	NothingLeft     Promise = "no run is left when all is over"
 	Recovery        Promise = "jobs are completed after the faults"
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -205,6 +205,9 @@
 	e.w.checkStart(e, r)
 	e.runs[name] = r
 	e.work(r)
+	if c := e.w.jobs[r.order.Task.Job]; c != nil && c.crashing {
+		e.w.crashUnder(e, r)
+	}
 	return supervisor.Reply{}
 }
 
--- a/testutil/fleet/workload.go
+++ b/testutil/fleet/workload.go
@@ -182,6 +182,10 @@
 		CallerTimeout: 3*c.objective() + 1500*time.Millisecond,
 		Steps:         []task.Step{{Count: count, Needs: task.Needs{CPU: taskCPU, MemoryMB: 64}, Estimate: guess}},
 	}
+	if c.crashing = w.poison.Float64() < w.cfg.Crashing; c.crashing {
+		w.Crashes.Jobs++
+		c.crashed, c.afterThree = make(map[task.ID]int), make(map[task.ID]int)
+	}
 	usual := class.Work.Seconds() * float64(class.Tasks)
 	c.worth = class.Worth * min(mostWorth, baseWorth+(1-baseWorth)*work.Seconds()*float64(count)/usual)
 	w.jobs[id] = c
