A data hall that is cut from the others serves on

Cause: an entry took itself for isolated when more than half of the agents it had heard of lately were missing.

--- a/owner/agent.go
+++ b/owner/agent.go
@@ -54,6 +54,8 @@
 	// agent counts as silent because it left a claim unanswered, zero while it does not.
 	hash        uint64
 	silentSince time.Duration
+	// lastHall is the data hall of its target as it was told last, on any connection.
+	lastHall string
 	// wasHome says that jobs could be claimed there, now or before its connection was lost.
 	wasHome bool
 	// stoppedAt is when the target stopped taking work last.
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -136,6 +136,7 @@
 	a.applyState(st)
 	a.stoppedTaking(now, accepted)
 	if st.Profile != nil {
+		a.lastHall = a.profile.Hall
 		o.setEvacuated(a)
 		q := o.queue(a.profile.Service)
 		q.setKnownRate(o.workRate(now, q))
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -5,11 +5,20 @@
 // Isolation: an entry to which most agents are silent takes itself to be cut off, and not
 // them. It starts no job that it had not claimed before, since other entries may find other
 // homes for the same job.
+//
+// A data hall that is cut from the others is no isolation: its agents all answer, callers keep
+// coming, and its targets are sound. Each part goes on with the homes that it reaches. A job runs
+// on both sides only where its caller submits it on both; of a job that was claimed before, the
+// larger part always has a home, and a part of one hall of three two times out of three.
 
 // isolationTime is for how long a silent or lost agent counts. Longer ago it is not this
 // entry's cut: halls may be dark for long, and those left serve on. Not measured.
 const isolationTime = 3 * time.Second
 
+// wholeMissing is the share of a hall's agents that may be silent or lost where the hall counts as
+// reached: single hosts fail by themselves. Not measured.
+const wholeMissing = 0.2
+
 // settleTime is for how long an entry that was connected to nobody counts as isolated after its
 // first connection: those to the other agents are made within milliseconds of each other, and
 // until then it would choose homes among the few that it knows. Without it 5 of 2,000 histories
@@ -27,21 +36,53 @@
 	o.isolated = true
 }
 
+// reach counts the agents of which an entry has heard in the last few seconds, and those of them
+// that are silent or lost now.
+type reach struct {
+	known, missing int
+}
+
+// add counts one agent.
+func (r *reach) add(missing bool) {
+	r.known++
+	if missing {
+		r.missing++
+	}
+}
+
+// whole reports whether nearly all are reached, and enough of them to say so.
+func (r reach) whole() bool {
+	return r.known >= minQuiet && float64(r.missing) <= wholeMissing*float64(r.known)
+}
+
+// partitioned reports whether a whole data hall is reached while others are not.
+func partitioned(halls map[string]reach) bool {
+	for hall, r := range halls {
+		if hall != "" && r.whole() {
+			return true
+		}
+	}
+	return false
+}
+
 // checkIsolation sets whether this entry is isolated: of the agents that it has heard from in
-// the last few seconds more than half are silent or lost now, or it has just found the first.
+// the last few seconds more than half are silent or lost now, and in each hall some, or it has just
+// found the first.
 func (o *Owner) checkIsolation(now time.Duration) {
-	known, missing := 0, 0
+	var all reach
+	halls := make(map[string]reach)
 	for _, a := range o.byName {
 		if !a.wasHome || now-a.heardAt > isolationTime && !a.mayBeHome() {
 			continue
 		}
-		known++
-		if !a.mayBeHome() {
-			missing++
-		}
+		all.add(!a.mayBeHome())
+		hall := halls[a.lastHall]
+		hall.add(!a.mayBeHome())
+		halls[a.lastHall] = hall
 	}
+	known, missing := all.known, all.missing
 	before := o.isolated
-	o.isolated = 2*missing > known || now < o.settledAt
+	o.isolated = 2*missing > known && !partitioned(halls) || now < o.settledAt
 	if o.isolated == before {
 		return
 	}
--- a/owner/outage_test.go
+++ b/owner/outage_test.go
@@ -113,3 +113,35 @@
 	}
 	assert.Assert(t, given > 0)
 }
+
+// TestAPartIsNoIsolation: an entry in a hall that is cut from the others reaches its own hall whole,
+// and starts there what comes; one that reaches a few agents of each hall is cut off itself.
+func TestAPartIsNoIsolation(t *testing.T) {
+	for name, c := range map[string]struct {
+		speaks   func(k int) bool
+		isolated bool
+	}{
+		"its own hall":           {func(k int) bool { return k%3 == 0 }, false},
+		"a few agents of each":   {func(k int) bool { return k < 3 }, true},
+		"half of its own hall":   {func(k int) bool { return k%6 == 0 }, true},
+		"all but one of its own": {func(k int) bool { return k%3 == 0 && k > 0 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			for k := range 18 {
+				agent := fmt.Sprintf("side-%02d", k)
+				b.Connected(b.now, agent)
+				b.Receive(b.now, agent, &peer.Frame{Hello: &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest}})
+				b.stateIn(agent, []string{"mtm", "sulph", "tepuke"}[k%3])
+			}
+			b.pass(time.Second, all)
+			for k, a := range b.byName {
+				if !c.speaks(k) {
+					b.Disconnected(b.now, b.now, a.name)
+				}
+			}
+			b.pass(TickInterval, c.speaks)
+			assert.Equal(t, b.Isolated(), c.isolated)
+		})
+	}
+}
--- a/testutil/fleet/fault.go
+++ b/testutil/fleet/fault.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is a kind of fault.
 type Kind int
@@ -36,6 +39,9 @@
 	SuspendEntry
 	SuspendAgent
 	ShrinkRoom
+	// Partition strikes only where it is asked for: a hall with its entries is cut from the
+	// others; callers reach both sides.
+	Partition
 )
 
 // fault begins a random fault, which lasts up to 3.2 s.
@@ -94,6 +100,8 @@
 		a.suspend(suspendTime + lasts)
 	case ShrinkRoom:
 		w.shrinkRoom(a, lasts)
+	case Partition:
+		w.partition(a.target.hall, lasts)
 	case CutHall:
 		w.cutHall(e, a.target.hall, lasts)
 	}
@@ -132,6 +140,19 @@
 	}
 }
 
+// partition cuts a hall with its entries from the others. Entries stand in the halls by turns, as
+// targets do.
+func (w *World) partition(hall string, lasts time.Duration) {
+	for _, l := range w.links {
+		entryInside := hallName(slices.Index(w.entries, l.e)%w.cfg.Halls) == hall
+		if entryInside != (l.a.target.hall == hall) {
+			l.cut = max(l.cut, w.now()+lasts)
+			l.a.disturb(lasts)
+			l.e.disturb(lasts)
+		}
+	}
+}
+
 // holdHeartbeat holds up a heartbeat of a target that crashes: it arrives a while after
 // the next incarnation has reported itself.
 func (w *World) holdHeartbeat(a *agentProcess, lasts time.Duration) {
--- /dev/null
+++ b/testutil/fleet/partition_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/owner"
+)
+
+// TestAHallThatIsCutServesOn: one hall of three with its entries is cut from the others for four
+// seconds, while a quarter of the load comes on both sides. Its targets are sound and callers
+// reach its entries: it serves what it could serve alone.
+func TestAHallThatIsCutServesOn(t *testing.T) {
+	cfg := PolicyConfig(1, 6, 24, Tracking(24, 0.25))
+	cfg.Halls = 3
+	w := New(cfg)
+	var before, in owner.Stats
+	w.At(4*time.Second, func() { w.partition(hallName(1), 4*time.Second) })
+	w.At(4500*time.Millisecond, func() { before = w.Stats() })
+	w.At(8*time.Second, func() { in = w.Stats() })
+	w.Run()
+	assert.Equal(t, w.Broken, "")
+	refused, submitted := in.Refused-before.Refused, in.Submitted-before.Submitted
+	completed := in.Completed - before.Completed
+	t.Logf("in the cut: %d submitted, %d completed, %d refused, %d given up", submitted, completed, refused, in.GivenUp-before.GivenUp)
+	assert.Assert(t, refused*50 <= submitted, "%d of %d refused while targets were idle", refused, submitted)
+	assert.Assert(t, completed*100 >= submitted*95, "%d of %d completed", completed, submitted)
+}
+
+// TestHistoriesOfPartitions plays histories in which halls are cut from each other, and callers
+// whose connections broke submit their jobs again on the other side.
+func TestHistoriesOfPartitions(t *testing.T) {
+	playHistories(t, 14000, 160, func(c *Config) {
+		c.Kinds, c.Faults = []Kind{Partition, ResetClients, KillEntry, CutAgent}, 12
+		c.Entries, c.Agents, c.Halls = 3, 9, 3
+	})
+}
