--- a/cmd/beaconpoint/node.go
+++ b/cmd/beaconpoint/node.go
@@ -70,7 +70,7 @@
 	store := platform.NewStore(s.Store, log)
 	e := node.NewEntry(s, store.Directory(), store.Source(), log)
 	e.SetTerm(platform.Term(s))
-	e.Serve = platform.NewCallerAPI(e, s.Callers, s.Readiness, log).Serve
+	e.Serve = platform.NewCallerAPI(e, s, log).Serve
 	return e
 }
 
--- a/settings/node.go
+++ b/settings/node.go
@@ -39,6 +39,8 @@
 	// LinkMbps is the rate of the host's link, in megabits a second; zero: not known, and
 	// taken to be fast.
 	LinkMbps float64 `yaml:"link_mbps" validate:"min=0"`
+	// Descriptors is how many files and connections the process may have open; zero: not known.
+	Descriptors int `yaml:"descriptors" validate:"min=0"`
 	// Contracts are the parts of the platform's rules that are in force; Term says what counts
 	// most for the callers where they do not: "worth" or "served".
 	Contracts []string `yaml:"contracts" validate:"max=100"`
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -18,7 +18,7 @@
 	raw, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	values := map[string]string{"node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.13", "port_range.0": "7720",
-		"platform.address": "10.2.0.7:8169", "bounds.grace_s": "6", "bounds.far_factor": "1.5", "limits.link_mbps": "25.0", "contracts|json": `["base","pressure"]`, "listen.front": "10.1.0.13:8161",
+		"platform.address": "10.2.0.7:8169", "bounds.grace_s": "6", "bounds.far_factor": "1.5", "limits.link_mbps": "25.0", "limits.max_fds": "4100", "contracts|json": `["base","pressure"]`, "listen.front": "10.1.0.13:8161",
 		"listen.ready": "10.1.0.13:8167", "listen.control": "10.1.0.13:8166", "app": "10.1.0.13:8165"}
 	return regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllFunc(raw, func(gap []byte) []byte {
 		value, ok := values[strings.Trim(string(gap), "{}")]
@@ -33,6 +33,7 @@
 	assert.Equal(t, entry.Role, peer.RoleEntry)
 	assert.Equal(t, entry.Peers, "10.1.0.13:7720")
 	assert.Equal(t, entry.LinkMbps, 25.0)
+	assert.Equal(t, entry.Descriptors, 4100)
 	assert.DeepEqual(t, entry.Contracts, []string{"base", "pressure"})
 	agent, err := ParseNode(filled(t, "../deploy/agent.yaml"))
 	assert.NilError(t, err)
--- a/testutil/system/system.go
+++ b/testutil/system/system.go
@@ -170,7 +170,7 @@
 		e := node.NewEntry(n, store.Directory(), store.Source(), log)
 		e.ForgetAfter = forgetAfter
 		e.SetClaimTimeout(claimTimeout)
-		e.Serve = platform.NewCallerAPI(e, n.Callers, n.Readiness, log).Serve
+		e.Serve = platform.NewCallerAPI(e, n, log).Serve
 		return e.Run(ctx)
 	}}
 	s.Entries = append(s.Entries, p)
