An entry that finds few agents chooses the homes of a large fleet

Cause: an entry that restarts while the store is down knows the agents that introduce themselves, 128 of 800, took them for the whole fleet and all of them for homes, where the others have 64. Change: agents pass on how many agents the entries know of.

--- a/node/link.go
+++ b/node/link.go
@@ -139,7 +139,7 @@
 	l.conn = c
 	l.echo = peer.Echo{}
 	e.linked.Add(1)
-	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers, Level: peer.LevelNewest, Boot: e.boot}
+	hello := &peer.Hello{Role: peer.RoleEntry, Name: e.settings.Name, Addr: e.settings.Peers, Level: peer.LevelNewest, Boot: e.boot, Fleet: e.reach.set.Known()}
 	l.sentAt = e.clock.now()
 	c.Send(&peer.Frame{Hello: hello, Stamp: l.sentAt})
 	e.owner.Connected(l.sentAt, l.registration.Name)
@@ -169,6 +169,9 @@
 	if l.conn != c {
 		return
 	}
+	if f.Hello != nil {
+		e.reach.set.SetFleet(f.Hello.Fleet)
+	}
 	now := e.clock.now()
 	l.echo.Observe(now, f.Stamp)
 	e.passDocument(now, l.registration.Name, f)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -110,6 +110,10 @@
 	Level Level
 	// Boot differs between the lives of an entry.
 	Boot uint64
+	// Fleet is how many agents an entry knows of; an agent passes on the most that it was
+	// told, so that an entry which finds few while the store is down does not take the fleet
+	// for a small one. The version before skips it.
+	Fleet int
 }
 
 // Level is a revision of what entries and agents may ask of each other. Both sides of a
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -68,6 +68,7 @@
 	byHome  []*agent // in the order of homeRank
 	byOwn   []*agent // in the order of ownRank
 	entries int      // of the fleet, as far as is known
+	fleet   int      // how many agents the fleet has, as others say
 	changed bool
 
 	extra     int           // how many more of its own than usual
@@ -117,6 +118,18 @@
 	s.entries = n
 }
 
+// SetFleet says how many agents others know of: an entry that has found few of them, and the
+// directory not, chooses the homes as the others do.
+func (s *Set) SetFleet(n int) {
+	s.changed = s.changed || n > s.fleet
+	s.fleet = max(s.fleet, n)
+}
+
+// large reports whether the fleet is too large to be connected whole.
+func (s *Set) large() bool {
+	return max(len(s.agents), s.fleet) > FullMesh
+}
+
 // SetLost says that an agent was lost or can't be reached, or that it is connected.
 func (s *Set) SetLost(name string, lost bool) {
 	if a := s.agents[name]; a != nil && a.lost != lost {
@@ -132,7 +145,7 @@
 
 // Partial reports whether there are agents that are known and not wanted.
 func (s *Set) Partial() bool {
-	return len(s.agents) > FullMesh && !s.wide
+	return s.large() && !s.wide
 }
 
 // Wanted reports whether the entry should be connected to an agent.
@@ -192,9 +205,9 @@
 	s.changed = false
 	for _, a := range s.byHome {
 		a.before = a.wanted
-		a.wanted, a.home = !s.Partial(), len(s.agents) <= FullMesh
+		a.wanted, a.home = !s.Partial(), !s.large()
 	}
-	if len(s.agents) > FullMesh {
+	if s.large() {
 		walk(s.byHome, homes, func(a *agent) { a.wanted, a.home = true, true })
 		walk(s.byOwn, s.own(), func(a *agent) { a.wanted = true })
 	}
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// TestAnEntryThatFindsFewAgentsHasTheSameHomes: one that restarts while the store is down hears
+// from the agents that it was connected to, all homes among them.
+func TestAnEntryThatFindsFewAgentsHasTheSameHomes(t *testing.T) {
+	before := newSet("edge-1", 184, 800)
+	after := NewSet("edge-1")
+	for _, name := range before.wanted() {
+		after.Add(name)
+	}
+	after.SetFleet(800)
+	after.Update(0)
+	assert.DeepEqual(t, after.homes(), before.homes())
+}
+
 // TestLostAgentsAreReplacedWithinBounds: of a fleet that loses half, entries find as many as before,
 // and try a bounded number; when all are back the set is as it was.
 func TestLostAgentsAreReplacedWithinBounds(t *testing.T) {
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -91,7 +91,8 @@
 		id: id, name: entry.Name, boot: entry.Boot, level: entry.Level,
 		leaseFrom: now, heardAt: now, stateChanged: true, stateSentAt: -time.Hour,
 	}
-	c.out.Hello = &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest}
+	s.fleet = max(s.fleet, entry.Fleet)
+	c.out.Hello = &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest, Fleet: s.fleet}
 	s.sessions[id] = c
 	s.ordered = append(s.ordered, c)
 	slices.SortFunc(s.ordered, func(a, b *session) int { return cmp.Compare(a.id, b.id) })
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -122,6 +122,7 @@
 	// evacuatedSince is since when the target's hall is evacuated, zero: it is not.
 	evacuatedSince time.Duration
 
+	fleet  int         // the most agents that an entry has said to know of
 	lapsed []lapsedRun // since the target was last heard from: see crash.go
 
 	runs     map[string]*run // by the name that the target knows
