--- a/node/configure.go
+++ b/node/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/evacuation"
@@ -16,11 +17,14 @@
 	minWatchWait = time.Second
 	// watchesPerSecond is how many watches a second all entries begin together, so that the
 	// store's calls do not grow with the fleet, and maxWatchWait the longest wait that comes of
-	// it. An entry whose watch hangs hears of a change from the agents that it is connected
-	// to, within an idle heartbeat: the watches of others end sooner. With 184 entries it was
-	// 184 watches a second, 12,300 of the 18,157 calls of a quiet day of 67 s.
-	watchesPerSecond = 16
-	maxWatchWait     = 10 * time.Second
+	// it: all watches may miss a change at once, where the store forgets its history, and an
+	// entry must have it 5 s later. The waits are drawn, from half of the longest on: so the
+	// first watch that ends tells of what the others have missed, and agents hand it on within
+	// an idle heartbeat. Without that all ended together, and 184 entries with waits of 10 s
+	// had a change 5.9 s late. At 1 s each they made 12,300 of the 18,157 calls of a quiet day
+	// of 67 s.
+	watchesPerSecond = 32
+	maxWatchWait     = 4 * time.Second
 	// absentRetry is how long after the store had no configuration it is asked
 	// again. Not measured.
 	absentRetry = 200 * time.Millisecond
@@ -66,7 +70,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	share := time.Duration(len(e.reach.entries)) * time.Second / watchesPerSecond
-	return min(max(share, minWatchWait), maxWatchWait)
+	longest := min(max(share, minWatchWait), maxWatchWait)
+	return longest - rand.N(min(longest/2, longest-minWatchWait)+1)
 }
 
 // readConfig reads the configuration and returns the revision to watch from, zero
--- a/node/entry.go
+++ b/node/entry.go
@@ -100,6 +100,7 @@
 	e.owner.Addr = e.addr
 	e.owner.SetLink(s.LinkMbps)
 	e.owner.IsHome = e.reach.set.Home
+	e.owner.IsOwn = e.reach.set.Own
 	return e
 }
 
--- a/node/reach.go
+++ b/node/reach.go
@@ -106,7 +106,7 @@
 	}
 	if v.set.Update(now) {
 		e.owner.Partial = v.set.Partial()
-		e.owner.RefreshHomes()
+		e.owner.RefreshRoles()
 		e.connectWanted(ctx)
 	}
 	for name := range v.surplus {
--- a/owner/agent.go
+++ b/owner/agent.go
@@ -58,6 +58,8 @@
 	lastHall string
 	// home says that the fleet's jobs may be claimed there.
 	home bool
+	// own says that tasks of this entry run there, others only where no own agent is left.
+	own bool
 	// wasHome says that jobs could be claimed there, now or before its connection was lost.
 	wasHome bool
 	// stoppedAt is when the target stopped taking work last.
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -21,7 +21,7 @@
 		o.agents[name] = a
 		o.byName = insertByName(o.byName, a)
 	}
-	a.home = o.IsHome == nil || o.IsHome(name)
+	o.refreshRoles(a)
 	o.beginSettling(now)
 	a.connected = true
 	a.connectedAt = now
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -99,6 +99,9 @@
 	Term Term
 	// IsHome reports whether jobs may be claimed at an agent; nil: at each.
 	IsHome func(agent string) bool
+	// IsOwn reports whether an agent is one of those in which this entry's tasks run, as long as
+	// they have room; nil: each is.
+	IsOwn func(agent string) bool
 	// Partial says that there are agents which the process does not connect to.
 	Partial bool
 	// Random returns a random number from 0 to below n.
--- a/owner/release.go
+++ b/owner/release.go
@@ -43,13 +43,20 @@
 	a.dirty = false
 }
 
-// RefreshHomes asks anew at which agents jobs may be claimed. Jobs keep the homes that they have.
-func (o *Owner) RefreshHomes() {
+// RefreshRoles asks anew at which agents jobs may be claimed and which are this entry's own. Jobs
+// keep the homes that they have, and watches go on.
+func (o *Owner) RefreshRoles() {
 	for _, a := range o.byName {
-		a.home = o.IsHome == nil || o.IsHome(a.name)
+		o.refreshRoles(a)
 	}
 }
 
+// refreshRoles asks for the roles of one agent.
+func (o *Owner) refreshRoles(a *agent) {
+	a.home = o.IsHome == nil || o.IsHome(a.name)
+	a.own = o.IsOwn == nil || o.IsOwn(a.name)
+}
+
 // Busy reports whether an agent runs tasks of this entry.
 func (o *Owner) Busy(name string) bool {
 	a := o.agents[name]
--- a/owner/watch.go
+++ b/owner/watch.go
@@ -130,20 +130,28 @@
 	return least
 }
 
-// unwatched returns an agent that is not watched and meets the condition, or nil. It
-// looks from a random one on, so that entries spread over the agents.
+// unwatched returns an agent that is not watched and meets the condition, or nil: one of this
+// entry's own, if there is any. It looks from a random one on, so that entries spread over the
+// agents.
 func (o *Owner) unwatched(meets func(*agent) bool) *agent {
 	if len(o.watched) == len(o.byName) {
 		return nil
 	}
+	var other *agent
 	from := o.Random(len(o.byName))
 	for k := range o.byName {
 		a := o.byName[(from+k)%len(o.byName)]
-		if !a.watching && meets(a) {
+		if a.watching || !meets(a) {
+			continue
+		}
+		if a.own {
 			return a
 		}
+		if other == nil {
+			other = a
+		}
 	}
-	return nil
+	return other
 }
 
 // Level returns the level that an agent understands.
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -57,7 +57,7 @@
 	name              string
 	homeRank, ownRank claim.Rank
 	lost              bool // it was tried and is not connected
-	wanted, home      bool
+	wanted, home, own bool
 	before            bool // it was wanted before the last Update
 }
 
@@ -190,6 +190,13 @@
 	return max(leastOwn, covering) + s.extra
 }
 
+// Own reports whether an agent is one of the entry's own, in which its tasks run. One that is only
+// a home is one of all entries: tasks that ran there for its being connected would pile up.
+func (s *Set) Own(name string) bool {
+	a := s.agents[name]
+	return a != nil && a.own
+}
+
 // Update reckons anew which agents are wanted, where something has changed. It reports whether it
 // did.
 func (s *Set) Update(now time.Duration) bool {
@@ -205,11 +212,11 @@
 	s.changed = false
 	for _, a := range s.byHome {
 		a.before = a.wanted
-		a.wanted, a.home = !s.Partial(), !s.large()
+		a.wanted, a.home, a.own = !s.Partial(), !s.large(), !s.Partial()
 	}
 	if s.large() {
 		walk(s.byHome, homes, func(a *agent) { a.wanted, a.home = true, true })
-		walk(s.byOwn, s.own(), func(a *agent) { a.wanted = true })
+		walk(s.byOwn, s.own(), func(a *agent) { a.wanted, a.own = true, true })
 	}
 	if s.grownAt == now && now > 0 {
 		s.added = nil
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -110,6 +110,7 @@
 		e.reach.Add(agentName(k))
 	}
 	e.owner.IsHome = e.reach.Home
+	e.owner.IsOwn = e.reach.Own
 	e.owner.Addr = func(agent string) string { return agent }
 	e.owner.SetLink(e.w.cfg.LinkMbps)
 	e.owner.Random = e.w.choice.IntN
@@ -142,7 +143,7 @@
 	changed := e.reach.Update(now)
 	if changed {
 		e.owner.Partial = e.reach.Partial()
-		e.owner.RefreshHomes()
+		e.owner.RefreshRoles()
 	}
 	if e.w.cfg.Agents <= reach.FullMesh {
 		return // links dial by themselves
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -58,6 +58,7 @@
 	rate         float64       // of its clock, against the world's
 	began        time.Duration // when the incarnation began
 	capacity     task.Needs
+	starts       int           // carried out
 	shrunkAt     time.Duration // when the room shrank last
 	speed        float64       // 1 being usual
 	deadline     time.Duration // of its lease, on its own clock
@@ -204,6 +205,7 @@
 	r := &emulatedRun{order: c.Order, name: name}
 	e.w.checkStart(e, r)
 	e.runs[name] = r
+	e.starts++
 	e.work(r)
 	if c := e.w.jobs[r.order.Task.Job]; c != nil && c.crashing {
 		e.w.crashUnder(e, r)
