--- a/doc.go
+++ b/doc.go
@@ -6,6 +6,7 @@
 //	task, routing    the model: jobs and runs; queues
 //	evacuation       which data halls get no new work
 //	claim            which entry has a job, whichever it was submitted to
+//	reach            to which agents an entry is connected
 //	owner            an entry's decisions: admission, order, placement, refusal, retry
 //	supervisor       an agent's decisions: room, leases, health, what starts
 //	peer, framing    what entries and agents tell each other
