In a part of the fleet only those jobs start that other entries would meet

Change: in a part, a job starts where one of its homes is one that entries choose which reach all agents.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -33,6 +33,9 @@
 	if o.isolated && j.claimedAt == 0 && j.homesWanted > 0 && o.homesExist() {
 		return false
 	}
+	if o.partitioned && j.claimedAt == 0 && j.homesWanted > 0 && !o.meetsOthers(o.tickedAt, j) {
+		return false
+	}
 	return !slices.ContainsFunc(j.homes, func(h home) bool { return h.state == asked || h.state == held })
 }
 
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -1,15 +1,20 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/beaconpoint/beaconpoint/claim"
+)
 
 // Isolation: an entry to which most agents are silent takes itself to be cut off, and not
 // them. It starts no job that it had not claimed before, since other entries may find other
 // homes for the same job.
 //
 // A data hall that is cut from the others is no isolation: its agents all answer, callers keep
-// coming, and its targets are sound. Each part goes on with the homes that it reaches. A job runs
-// on both sides only where its caller submits it on both; of a job that was claimed before, the
-// larger part always has a home, and a part of one hall of three two times out of three.
+// coming, and its targets are sound. But it looks the same to an entry that is cut off from the
+// other halls by itself. So it starts the jobs of which it reaches a home that the others choose,
+// too: they meet there. Of three halls that is two jobs of three; the others wait, until the lost
+// halls were not heard from for isolationTime.
 
 // isolationTime is for how long a silent or lost agent counts. Longer ago it is not this
 // entry's cut: halls may be dark for long, and those left serve on. Not measured.
@@ -82,7 +87,9 @@
 	}
 	known, missing := all.known, all.missing
 	before := o.isolated
-	o.isolated = 2*missing > known && !partitioned(halls) || now < o.settledAt
+	most := 2*missing > known
+	o.partitioned = most && partitioned(halls)
+	o.isolated = most && !o.partitioned || now < o.settledAt
 	if o.isolated == before {
 		return
 	}
@@ -95,6 +102,34 @@
 	}
 }
 
+// meetsOthers reports whether one of j's homes is one that entries choose which reach all agents:
+// of those heard of lately the first by rank, or the first in another hall.
+func (o *Owner) meetsOthers(now time.Duration, j *job) bool {
+	first := o.leastOf(now, j, nil)
+	if first == nil || j.hasHome(first) {
+		return first != nil
+	}
+	second := o.leastOf(now, j, first)
+	return second != nil && j.hasHome(second)
+}
+
+// leastOf returns the agent of the least rank for j of those that were heard of lately, in another
+// hall than one that is not nil.
+func (o *Owner) leastOf(now time.Duration, j *job, other *agent) *agent {
+	var best *agent
+	var least claim.Rank
+	for _, a := range o.byName {
+		lately := a.answers() || a.wasHome && now-a.heardAt <= isolationTime
+		if !a.home || !lately || other != nil && a.lastHall == other.lastHall {
+			continue
+		}
+		if rank := claim.RankOf(j.hash, a.hash); best == nil || rank < least {
+			best, least = a, rank
+		}
+	}
+	return best
+}
+
 // Isolated reports whether this entry takes itself to be cut off.
 func (o *Owner) Isolated() bool {
 	return o.isolated
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -127,8 +127,10 @@
 	missingLabel bool
 	deafAt       time.Duration // when no agent had been heard from for freshTime
 	// isolated says that most agents are silent or lost: see isolation.go.
-	isolated  bool
-	settledAt time.Duration // until when it counts as isolated since its first connection
+	isolated bool
+	// partitioned says that so are most, but a whole hall is reached.
+	partitioned bool
+	settledAt   time.Duration // until when it counts as isolated since its first connection
 	// tickedAt is when the last tick was, lateTickAt when the last one that was late.
 	tickedAt, lateTickAt time.Duration
 	// stoppedUntil is when the process went on after it was stopped: see stopped.go.
