--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -201,8 +201,8 @@
 		c.Strays, c.Entries, c.Agents = 0.9, 3, 5
 	}
 	playHistories(t, 20000, 100, stopped)
-	playHistories(t, 21360, 20, stopped) // 21366 broke before entries claimed anew
-	playHistories(t, 20570, 20, stopped) // 20579, too
+	playHistories(t, 21360, 20, stopped) // 21366 breaks without the new claims
+	playHistories(t, 20570, 20, stopped) // so does 20579
 }
 
 // TestRoomThatShrinks plays histories in which the room of targets shrinks and grows again while
