claim: a cancellation keeps whether the job may have run

Callers could be told "not run" about a job that had run: it was given up after a start, somebody cancelled it through another entry, and the next submission was granted with Ran false and no losses, so that a refusal of it claimed that nothing had run.

Cause: Registry.Claim deleted the record of an unowned or retryable job before it looked at Cancel, and only the path of a claim carried over mayHaveRun and losses.

Evidence: TestCancellationKeepsThatJobMayHaveRun failed at its first run (registry_test: expression is false: granted.Ran); the same order of events without the cancellation passed.

Fix: a cancellation is handled first and does not delete the record of a job without a holder; the reply is Unknown as before.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -117,21 +117,21 @@
 	return s
 }
 
-// Claim handles a claim of an entry, or a cancellation. Either one first deletes the record
-// of an unowned job, or of a refused one that may be retried. A claim carries over whether the
-// job may have run, and its losses; a cancellation does not.
+// Claim handles a claim of an entry, or a cancellation. A claim replaces the record of a job that
+// is unowned, or refused and may be retried; the new record keeps whether the job may have run,
+// and its losses.
 func (g *Registry) Claim(now time.Duration, from Holder, conn ConnID, c Claim) {
 	r := g.records[c.Job]
+	if c.Cancel {
+		g.cancel(now, conn, c.Job, r)
+		return
+	}
 	mayHaveRun, losses := false, 0
-	if r != nil && (r.unowned || r.retryAllowed(now)) {
+	if r != nil && r.claimable(now) {
 		mayHaveRun, losses = r.mayHaveRun, r.losses
 		delete(g.records, c.Job)
 		r = nil
 	}
-	if c.Cancel {
-		g.cancel(now, conn, c.Job, r)
-		return
-	}
 	w := waiter{holder: from, conn: conn, maxDuration: c.MaxDuration, begun: c.Begun}
 	switch {
 	case r == nil:
@@ -174,6 +174,11 @@
 	}
 }
 
+// claimable reports whether the job has neither a holder nor an answer that is still valid.
+func (r *record) claimable(now time.Duration) bool {
+	return r.unowned || r.retryAllowed(now)
+}
+
 // retryAllowed reports whether the job was refused and its caller may retry at now.
 func (r *record) retryAllowed(now time.Duration) bool {
 	return r.answer.Outcome == Refused && now-r.retainedAt >= r.answer.Retry-retryMargin
@@ -245,10 +250,12 @@
 }
 
 // cancel forwards a caller's cancellation to the holder of the job and retains it as the
-// answer. If the job is answered, the reply is that answer with the original retry delay.
+// answer. If the job is answered, the reply is that answer with the original retry delay. The
+// record of a job without a holder is kept: a later claim needs to know whether the job may have
+// run.
 func (g *Registry) cancel(now time.Duration, conn ConnID, job string, r *record) {
 	switch {
-	case r == nil || g.claimExpired(now, r) && r.answer.State != Answered:
+	case r == nil || r.claimable(now) || g.claimExpired(now, r) && r.answer.State != Answered:
 		g.Reply(conn, Reply{Job: job, State: Unknown})
 		return
 	case r.answer.State == Answered:
