claim: an answer that arrives after the claim has expired is retained

A job that was answered as completed could run again when it was submitted again within the retention: its holder had been cut off from the home until the claim had expired, and reported the answer afterwards.

Cause: Tick marks the record of an expired claim as unowned. recordAnswer stored the answer and left the mark, and Claim replaces each unowned record.

Evidence: TestAnswerAfterExpiryIsRetained failed (outcome 0 in place of Completed for the next claim); a random history of the home found it, too.

Fix: recordAnswer clears the mark; the answer is then joined as any other for AnswerRetention.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -338,6 +338,7 @@
 		return
 	}
 	r.answer = s.reply()
+	r.unowned = false
 	r.retainedAt = now
 	g.replyWaiting(r, r.answer)
 	g.retained = append(g.retained, r)
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -204,6 +204,21 @@
 	assert.Equal(t, g.lastReply(2).Outcome, Completed)
 }
 
+// TestAnswerAfterExpiryIsRetained guards against a second run of a job whose holder answered it
+// after the claim had expired.
+func TestAnswerAfterExpiryIsRetained(t *testing.T) {
+	g := newHarness()
+	g.claim(a, 1, "j")
+	g.Disconnected(g.now, 1)
+	g.advance(clearTime)
+	g.Settle(g.now, a, Settlement{Job: "j", Outcome: Completed, Clear: true})
+	assert.Equal(t, g.claim(b, 2, "j").Outcome, Completed)
+	g.advance(AnswerRetention - 20*ms)
+	assert.Equal(t, g.claim(b, 2, "j").Outcome, Completed)
+	g.advance(20 * ms)
+	assert.Equal(t, g.claim(b, 2, "j").State, Granted)
+}
+
 // TestRecordCountBounded guards against a registry that grows without limit, and against the
 // eviction of held claims.
 func TestRecordCountBounded(t *testing.T) {
