claim: a job taken over between its expiry and the next tick may have run

A job could be refused with "not run" although it had run: its holder had given it up, was lost before it reported the end of its runs, and the next claim arrived after the expiry but before the next tick of the home.

Cause: takeOver took each released job for one whose runs had ended. Tick sets mayHaveRun for an expired claim, the path through Claim did not.

Evidence: TestExpiredReleaseGrantedWithRan failed (Ran false in the grant).

Fix: Claim sets mayHaveRun for an expired claim as Tick does; the only other caller of takeOver has the holder's own report.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -148,6 +148,7 @@
 		g.grant(now, r, w)
 		g.sendInterest(now, r)
 	case g.claimExpired(now, r):
+		r.mayHaveRun = true // the holder may be lost
 		g.takeOver(now, r, w)
 	default:
 		g.enqueue(now, r, w)
@@ -208,7 +209,6 @@
 // lost or gave it up.
 func (g *Registry) takeOver(now time.Duration, r *record, w waiter) {
 	g.stats.TakenOver++
-	r.mayHaveRun = r.mayHaveRun || !r.released
 	g.Log.Info(event.ClaimTakenOver, "job", r.job, "from", r.holder.Name, "by", w.holder.Name, "released", r.released)
 	g.removeWaiter(r, w.holder)
 	g.grant(now, r, w)
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -219,6 +219,17 @@
 	assert.Equal(t, g.claim(b, 2, "j").State, Granted)
 }
 
+// TestExpiredReleaseGrantedWithRan guards against a grant as not run if the holder gave up the
+// job and was lost before it reported its last run, and a claim arrives before the next tick.
+func TestExpiredReleaseGrantedWithRan(t *testing.T) {
+	g := newHarness()
+	g.claim(a, 1, "j")
+	g.Settle(g.now, a, Settlement{Job: "j", Outcome: GivenUp, Why: code.JobTooLate})
+	g.Disconnected(g.now, 1)
+	g.now += clearTime
+	assert.DeepEqual(t, g.claim(b, 2, "j"), Reply{Job: "j", State: Granted, Ran: true})
+}
+
 // TestRecordCountBounded guards against a registry that grows without limit, and against the
 // eviction of held claims.
 func TestRecordCountBounded(t *testing.T) {
