claim: a home keeps the report of a run of a job that it does not know

A job that had run could be refused with "not run" if its home had lost or evicted the record before the holder reported the end of the last run.

Cause: Settle ignored each release of a job without a record, also one that says that the job may have run.

Evidence: TestSettlementOfUnknownJobKeepsThatItMayHaveRun failed (no record after the report, and a grant with Ran false).

Fix: such a report adds an unowned record, which is retained like any other and counts towards the bound on records.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -287,7 +287,10 @@
 		return
 	}
 	switch {
-	case r == nil || r.answer.State == Answered:
+	case r == nil:
+		g.addUnowned(now, s)
+		return
+	case r.answer.State == Answered:
 		return
 	case r.holder != from:
 		g.withdrawWaiter(r, from)
@@ -303,6 +306,16 @@
 	}
 }
 
+// addUnowned adds the record of a job that was dropped elsewhere, if it may have run.
+func (g *Registry) addUnowned(now time.Duration, s Settlement) {
+	if !s.Ran {
+		return
+	}
+	r := g.add(s.Job)
+	r.mayHaveRun, r.losses = true, s.Losses
+	g.retainUnowned(now, r)
+}
+
 // replyWaiting sends an answer to all entries that wait for a job.
 func (g *Registry) replyWaiting(r *record, answer Reply) {
 	for _, w := range r.waiting {
@@ -352,14 +365,19 @@
 	case len(r.waiting) > 0:
 		g.takeOver(now, r, r.waiting[0])
 	case r.mayHaveRun:
-		r.unowned = true
-		r.retainedAt = now
-		g.retained = append(g.retained, r)
+		g.retainUnowned(now, r)
 	default:
 		delete(g.records, r.job)
 	}
 }
 
+// retainUnowned retains the record of a job that has neither a holder nor an answer.
+func (g *Registry) retainUnowned(now time.Duration, r *record) {
+	r.unowned = true
+	r.retainedAt = now
+	g.retained = append(g.retained, r)
+}
+
 // Disconnected handles the end of a connection. Runs of its entry may continue for ClearTime; an
 // entry that reconnects claims its jobs again.
 func (g *Registry) Disconnected(now time.Duration, conn ConnID) {
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -230,6 +230,18 @@
 	assert.DeepEqual(t, g.claim(b, 2, "j"), Reply{Job: "j", State: Granted, Ran: true})
 }
 
+// TestSettlementOfUnknownJobKeepsThatItMayHaveRun guards against a grant as not run by a home
+// that has no record of the job when its last run is reported.
+func TestSettlementOfUnknownJobKeepsThatItMayHaveRun(t *testing.T) {
+	g := newHarness()
+	g.Settle(g.now, a, Settlement{Job: "j", Clear: true, Ran: true, Losses: 2})
+	g.Settle(g.now, a, Settlement{Job: "k", Clear: true})
+	assert.Equal(t, g.Stats().Records, 1)
+	g.advance(AnswerRetention - 20*ms)
+	assert.DeepEqual(t, g.claim(b, 2, "j"), Reply{Job: "j", State: Granted, Ran: true, Losses: 2})
+	assert.DeepEqual(t, g.claim(b, 2, "k"), Reply{Job: "k", State: Granted})
+}
+
 // TestRecordCountBounded guards against a registry that grows without limit, and against the
 // eviction of held claims.
 func TestRecordCountBounded(t *testing.T) {
