claim: homes record losses whoever reports them; histories of one home

A job under which targets crash could be started more often than its bound on losses allows: the entry that had lost the runs reported them after the job had been taken over, or together with an answer, and the home ignored the number.

Cause: Settle recorded losses of the current holder only, and not beside an answer.

Fix: losses are the maximum over all reports. Ran stays with the holder: an entry that waits sets it also because another entry holds the job, so it is no evidence of a run.

TestGrantsReportEarlierRuns draws claims, cancellations, reports, refusals and reconnections at one home and checks each grant against what holders have reported.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -273,7 +273,11 @@
 // retained is recorded as the answer even if the job was taken over or evicted meanwhile; the
 // current holder receives it too. With any other outcome, a sender that holds the job releases
 // it: the next waiting entry is granted the job once the sender reports that its runs have
-// ended. A sender that only waits for the job is removed from the waiting entries.
+// ended. A sender that only waits for the job is removed from the waiting entries. If the home has
+// no record of a job that may have run, it adds one.
+//
+// Losses are recorded whoever reports them. Ran is not recorded from an entry that waits, which
+// sets it also for runs that only the holder may have started.
 func (g *Registry) Settle(now time.Duration, from Holder, s Settlement) {
 	r := g.records[s.Job]
 	if s.Outcome.retained() {
@@ -283,13 +287,16 @@
 		if r.holder != from && r.conn != 0 && r.answer.State != Answered {
 			g.Reply(r.conn, s.reply())
 		}
+		r.addLosses(s)
 		g.recordAnswer(now, r, s)
 		return
 	}
-	switch {
-	case r == nil:
+	if r == nil {
 		g.addUnowned(now, s)
 		return
+	}
+	r.addLosses(s)
+	switch {
 	case r.answer.State == Answered:
 		return
 	case r.holder != from:
@@ -300,12 +307,17 @@
 	}
 	r.released = true
 	r.mayHaveRun = r.mayHaveRun || s.Ran
-	r.losses = max(r.losses, s.Losses)
 	if s.Clear {
 		g.runsEnded(now, r)
 	}
 }
 
+// addLosses records the losses in a settlement. A job with losses has run.
+func (r *record) addLosses(s Settlement) {
+	r.losses = max(r.losses, s.Losses)
+	r.mayHaveRun = r.mayHaveRun || s.Losses > 0
+}
+
 // addUnowned adds the record of a job that was dropped elsewhere, if it may have run.
 func (g *Registry) addUnowned(now time.Duration, s Settlement) {
 	if !s.Ran {
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -242,6 +242,19 @@
 	assert.DeepEqual(t, g.claim(b, 2, "k"), Reply{Job: "k", State: Granted})
 }
 
+// TestLossesOfFormerHolderAreKept guards against a grant without the losses that an entry
+// reports after its job was taken over.
+func TestLossesOfFormerHolderAreKept(t *testing.T) {
+	g := newHarness()
+	g.claim(a, 1, "j")
+	g.Disconnected(g.now, 1)
+	g.advance(clearTime)
+	g.claim(b, 2, "j")
+	g.Settle(g.now, a, Settlement{Job: "j", Clear: true, Ran: true, Losses: 2})
+	g.Settle(g.now, b, Settlement{Job: "j", Clear: true})
+	assert.DeepEqual(t, g.claim(c, 3, "j"), Reply{Job: "j", State: Granted, Ran: true, Losses: 2})
+}
+
 // TestRecordCountBounded guards against a registry that grows without limit, and against the
 // eviction of held claims.
 func TestRecordCountBounded(t *testing.T) {
@@ -336,3 +349,126 @@
 			"agent %d is the first home of %d jobs", k, count[k])
 	}
 }
+
+// reportModel is one job at one home, with entries that keep their processes.
+type reportModel struct {
+	*harness
+	entries []Holder
+	conns   []ConnID
+	granted map[ConnID]int // grants and other replies already checked
+	// holder is the entry of the last grant, -1 if none or if it has dropped the job. mayRefuse is
+	// set while no run of the job has been reported to it or by it.
+	holder    int
+	mayRefuse bool
+	// ranAt is when a holder last reported that the job may have run, and losses the highest
+	// number that was reported with it.
+	ranAt, doneAt time.Duration
+	losses        int
+	answered      bool // the home has recorded an answer that no retry may replace
+}
+
+func newReportModel() *reportModel {
+	return &reportModel{
+		harness: newHarness(), entries: []Holder{a, b, c}, conns: []ConnID{1, 2, 3},
+		granted: make(map[ConnID]int), holder: -1,
+	}
+}
+
+// checkGrants compares new grants with what holders have reported.
+func (m *reportModel) checkGrants(t *rapid.T) {
+	for k, conn := range m.conns {
+		list := m.replies[conn]
+		for _, r := range list[m.granted[conn]:] {
+			if r.State != Granted {
+				continue
+			}
+			if m.ranAt > 0 && m.now < m.ranAt+AnswerRetention {
+				assert.Assert(t, r.Ran, "granted as not run %s after the report of a run", m.now-m.ranAt)
+				assert.Assert(t, r.Losses >= m.losses, "granted with %d losses, %d were reported", r.Losses, m.losses)
+			}
+			assert.Assert(t, m.doneAt == 0 || m.now >= m.doneAt+AnswerRetention,
+				"granted %s after it was completed", m.now-m.doneAt)
+			m.holder, m.mayRefuse, m.answered = k, !r.Ran, false
+		}
+		m.granted[conn] = len(list)
+	}
+}
+
+// reportRun lets the holder drop the job after a run.
+func (m *reportModel) reportRun(outcome Outcome, losses int, clear bool) {
+	m.mayRefuse = false
+	if !m.answered {
+		m.ranAt, m.losses = m.now, max(m.losses, losses)
+	}
+	s := Settlement{Job: "j", Outcome: outcome, Ran: true, Losses: losses, Clear: clear}
+	m.Settle(m.now, m.entries[m.holder], s)
+	if clear {
+		m.holder = -1
+	}
+}
+
+// complete lets the holder, which may be presumed lost, answer the job.
+func (m *reportModel) complete() {
+	m.mayRefuse = false
+	if !m.answered {
+		m.answered, m.doneAt = true, m.now
+	}
+	m.Settle(m.now, m.entries[m.holder], Settlement{Job: "j", Outcome: Completed, Ran: true, Clear: true})
+}
+
+// refuse lets the holder refuse the job.
+func (m *reportModel) refuse() {
+	m.Settle(m.now, m.entries[m.holder], Settlement{Job: "j", Outcome: Refused, Retry: time.Second, Clear: true})
+	m.holder = -1
+}
+
+// cancel lets a caller of an entry cancel the job.
+func (m *reportModel) cancel(k int) {
+	m.Claim(m.now, m.entries[k], m.conns[k], Claim{Job: "j", Cancel: true})
+	if m.lastReply(m.conns[k]).State == Cancelling {
+		m.answered = true
+	}
+}
+
+// reconnect replaces the connection of an entry whose process goes on.
+func (m *reportModel) reconnect(k int) {
+	m.Disconnected(m.now, m.conns[k])
+	m.conns[k] += 10
+}
+
+// TestGrantsReportEarlierRuns guards against a home that forgets that a job has run, how many
+// runs it lost, or that it was completed.
+func TestGrantsReportEarlierRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newReportModel()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			k := rapid.IntRange(0, 2).Draw(t, "entry")
+			what := rapid.IntRange(0, 8).Draw(t, "what")
+			switch {
+			case what == 0:
+				m.claim(m.entries[k], m.conns[k], "j")
+			case what == 1:
+				m.cancel(k)
+			case what == 2:
+				m.reconnect(k)
+			case what == 3:
+				m.Settle(m.now, m.entries[k], Settlement{Job: "j", Clear: true})
+			case what == 4:
+				for _, conn := range m.conns {
+					m.heard[conn] = m.now + time.Hour // all connections are alive
+				}
+				m.advance(time.Duration(rapid.IntRange(1, 200).Draw(t, "wait")) * 10 * ms)
+			case m.holder < 0:
+			case what == 5:
+				m.reportRun(GivenUp, rapid.IntRange(0, 3).Draw(t, "losses"), rapid.Bool().Draw(t, "clear"))
+			case what == 6:
+				m.reportRun(None, rapid.IntRange(0, 3).Draw(t, "losses"), rapid.Bool().Draw(t, "clear"))
+			case what == 7:
+				m.complete()
+			case what == 8 && m.mayRefuse:
+				m.refuse()
+			}
+			m.checkGrants(t)
+		}
+	})
+}
