owner: homes learn that a job which was given up between two runs has run

Callers could be told "not run" about a job that had run: it was given up while none of its tasks was running, and the next submission was refused.

Cause: settle set Ran only if the job had no answer. "Given up" is an answer that homes do not retain, so they deleted the record. Releases of a claim (to an entry that has begun, to the holder at a home of lower rank, at a silent home) left out the losses, the last one also Ran.

Evidence: TestGivenUpJobWithoutRunsReportedAsRun (Clear true, Ran false after a run) and TestReleasedClaimsReportLosses (Losses 0 in place of 2, in three cases) failed.

Fix: settle sets Ran for jobs that were given up; releaseOf makes each release of a claim.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -133,7 +133,7 @@
 	}
 	j.earlierRun = true
 	j.homes = slices.Delete(j.homes, k, k+1)
-	o.sendSettlement(a, claim.Settlement{Job: j.desc.ID, Clear: true, Ran: true}, true)
+	o.sendSettlement(a, j.releaseOf(true), true)
 	o.addHome(now, j, a)
 	o.claimsChanged(now, j)
 }
@@ -145,7 +145,7 @@
 	for _, h := range j.homes {
 		if h.rank > rank {
 			released = append(released, h.agent)
-			o.sendSettlement(h.agent, claim.Settlement{Job: j.desc.ID, Clear: !j.started(), Ran: j.mayHaveRun()}, true)
+			o.sendSettlement(h.agent, j.releaseOf(!j.started()), true)
 		}
 	}
 	j.homes = slices.DeleteFunc(j.homes, func(h home) bool { return h.rank > rank })
--- a/owner/claim_test.go
+++ b/owner/claim_test.go
@@ -379,3 +379,48 @@
 	b.submit(jobOf("1", 1))
 	assert.Equal(t, len(b.allStarts()), 1)
 }
+
+// TestGivenUpJobWithoutRunsReportedAsRun guards against homes that forget that a job has run if
+// it is given up while none of its tasks is running.
+func TestGivenUpJobWithoutRunsReportedAsRun(t *testing.T) {
+	b := newClaimHarness(t, 2)
+	b.submit(jobOf("1", 1))
+	homes := b.grantAll("1")
+	for _, a := range b.byName {
+		a.state.Accepting = false
+	}
+	b.endAll(task.EndStopped)
+	b.endEarly(b.now, b.jobs["1"], code.JobTooLate)
+	assert.Equal(t, b.answers["1"].Kind, GivenUp)
+	for _, a := range homes {
+		list := b.settled(a)
+		last := list[len(list)-1]
+		assert.Assert(t, last.Outcome == claim.GivenUp && last.Clear && last.Ran, "%+v", last)
+	}
+}
+
+// TestReleasedClaimsReportLosses guards against homes that do not learn from an entry that
+// releases a claim that the job has run and how many runs it has lost.
+func TestReleasedClaimsReportLosses(t *testing.T) {
+	for _, release := range []string{"transfer", "silent home", "other holder"} {
+		t.Run(release, func(t *testing.T) {
+			b := newClaimHarness(t, 4)
+			b.submit(jobOf("1", 1))
+			j, homes := b.jobs["1"], b.homesOf("1")
+			b.reply(homes[0], claim.Reply{Job: "1", State: claim.Granted, Ran: true, Losses: 2})
+			released := homes[1]
+			switch release {
+			case "transfer":
+				b.transferClaim(b.now, j, released)
+			case "silent home":
+				released.silentSince = b.now
+				b.loseHome(b.now, released)
+			case "other holder":
+				b.releaseLaterHomes(j, j.homes[0].rank)
+			}
+			list := b.settled(released)
+			assert.Equal(t, len(list), 1)
+			assert.Assert(t, list[0].Ran && list[0].Losses == 2, "%+v", list[0])
+		})
+	}
+}
--- a/owner/home.go
+++ b/owner/home.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		j.homes = slices.Delete(j.homes, k, k+1)
-		o.sendSettlement(a, claim.Settlement{Job: j.desc.ID, Clear: true}, false)
+		o.sendSettlement(a, j.releaseOf(true), false)
 		if o.cancelIfAbandoned(now, j) {
 			continue
 		}
--- a/owner/settlement.go
+++ b/owner/settlement.go
@@ -36,7 +36,7 @@
 // again.
 func (o *Owner) settle(now time.Duration, j *job, a Answer) {
 	s := claim.Settlement{Job: j.desc.ID, Outcome: outcomeOf(a.Kind), Why: a.Why, Retry: a.Retry}
-	s.Ran = s.Outcome == claim.None && j.mayHaveRun()
+	s.Ran = (s.Outcome == claim.None || s.Outcome == claim.GivenUp) && j.mayHaveRun()
 	s.Losses = j.losses()
 	d := o.dropped[j.desc.ID]
 	s.Clear = d == nil
@@ -54,6 +54,12 @@
 	}
 }
 
+// releaseOf returns a settlement that releases the claim of j at a home. clear is set if no run of
+// j is left.
+func (j *job) releaseOf(clear bool) claim.Settlement {
+	return claim.Settlement{Job: j.desc.ID, Clear: clear, Ran: j.mayHaveRun(), Losses: j.losses()}
+}
+
 // sendSettlement adds a settlement to the next frame to a home. If atOnce is false, the
 // settlement may wait for the next heartbeat.
 func (o *Owner) sendSettlement(a *agent, s claim.Settlement, atOnce bool) {
