owner: jobs do not count as late after an hour of uptime

Callers of an entry that had been up for an hour got no refusal for the backlog under the goal "worth": all jobs waited, and more of them came late or were given up. Under "served" the goal made no difference.

Cause: a job that can no longer meet its objective was marked by adding one hour to its rank, and recognised by a rank of an hour or more. A rank is a time since the start of the process, so that every job reached the mark.

Evidence: TestJobsMeetObjectivesAfterLongUptime failed at 2 h and, with the objective past the hour, at 59 min; at 10 s it passed.

Fix: a rank holds whether the job is late beside its time; neither depends on the uptime. Requests for room keep their slack on the wire, which is relative to now. A case with an objective hours away joins the table of ranks, which compares the new type as it compared numbers. The golden file of decisions is unchanged: processes younger than an hour decide as before.

--- a/owner/agent.go
+++ b/owner/agent.go
@@ -74,7 +74,7 @@
 	// roomRequested reports whether the agent has a pending room request of this entry,
 	// requestRank the rank of the job that caused it.
 	roomRequested bool
-	requestRank   time.Duration
+	requestRank   queueRank
 
 	out   peer.Frame // next frame
 	dirty bool       // out has content, or a heartbeat is due
--- a/owner/job.go
+++ b/owner/job.go
@@ -97,9 +97,10 @@
 
 	queue *serviceQueue // the queue of its service
 	index int           // in the queue's heap, -1 if not queued
-	// rank orders the queue, lowest first, and depends on startSpan. It is not the rank of a
-	// home. startSpan dates from the last call of rankAt.
-	rank, startSpan time.Duration
+	// rank orders the queue, lowest first, and depends on startSpan, which dates from the last call
+	// of rankAt.
+	rank      queueRank
+	startSpan time.Duration
 }
 
 // newJob returns a job that arrived at now.
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -93,7 +93,7 @@
 func (q *serviceQueue) peek(now time.Duration) *job {
 	for len(q.waiting) > 0 {
 		j := q.waiting[0]
-		if rank := j.rankAt(now); rank > j.rank {
+		if rank := j.rankAt(now); rank.compare(j.rank) > 0 {
 			j.rank = rank
 			heap.Fix(&q.waiting, 0)
 			continue
@@ -152,7 +152,7 @@
 type jobHeap []*job
 
 func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, j int) bool { return h[i].rank < h[j].rank }
+func (h jobHeap) Less(i, j int) bool { return h[i].rank.compare(h[j].rank) < 0 }
 
 func (h jobHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/owner/rank.go
+++ b/owner/rank.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -22,8 +23,43 @@
 	startedAdvance = 40 * time.Millisecond
 )
 
-// lateRankOffset is added to the rank of jobs that can no longer meet their objective.
-const lateRankOffset = time.Hour
+// lateSlack is added to the slack of requests for jobs that can no longer meet their objective, so
+// that agents serve them after the others.
+const lateSlack = time.Hour
+
+// queueRank orders the jobs of a queue. It is not the rank of a home.
+type queueRank struct {
+	late bool // the job can no longer meet its objective
+	// at is the adjusted latest start for the objective, or for the late objective if late is set,
+	// on the entry's clock.
+	at time.Duration
+}
+
+// compare returns a negative number if r is served before s, zero if they are equal, and a
+// positive number otherwise.
+func (r queueRank) compare(s queueRank) int {
+	switch {
+	case r.late == s.late:
+		return cmp.Compare(r.at, s.at)
+	case s.late:
+		return -1
+	}
+	return 1
+}
+
+// moreUrgent reports whether r is served before s by more than the given time.
+func (r queueRank) moreUrgent(s queueRank, by time.Duration) bool {
+	s.at -= by
+	return r.compare(s) < 0
+}
+
+// slack returns the time left at now, plus lateSlack for a late job.
+func (r queueRank) slack(now time.Duration) time.Duration {
+	if r.late {
+		return lateSlack + r.at - now
+	}
+	return r.at - now
+}
 
 // rankInputs holds the inputs of a job's rank in its queue. Times are on the entry's clock.
 type rankInputs struct {
@@ -53,10 +89,10 @@
 	return r.latestStart() + r.lateObjectiveAt - r.objectiveAt
 }
 
-// rank returns the sort key of the job: the lowest rank is served first. It is the adjusted
-// latest start time while the job can meet its objective. After that it is the adjusted latest
-// start for the late objective, without safety margin and start span, plus lateRankOffset.
-func (r rankInputs) rank() time.Duration {
+// rank returns the sort key of the job: the lowest rank is served first. It holds the adjusted
+// latest start while the job can meet its objective, and after that the adjusted latest start for
+// the late objective, without safety margin and start span.
+func (r rankInputs) rank() queueRank {
 	var shift time.Duration
 	if r.priority > 0 {
 		shift += lowerPriorityDelay + time.Duration(r.priority)*priorityDelay
@@ -65,9 +101,9 @@
 		shift -= startedAdvance
 	}
 	if latest := r.latestStart(); r.now <= latest {
-		return latest + shift
+		return queueRank{at: latest + shift}
 	}
-	return lateRankOffset + r.lateObjectiveAt - r.remaining + shift
+	return queueRank{late: true, at: r.lateObjectiveAt - r.remaining + shift}
 }
 
 // rankInputs returns the inputs of j's rank at now, with the start span of the last call of
@@ -86,14 +122,12 @@
 }
 
 // rankAt returns j's rank at now and updates its start span.
-func (j *job) rankAt(now time.Duration) time.Duration {
+func (j *job) rankAt(now time.Duration) queueRank {
 	j.startSpan = j.queue.startSpan(now, j.startableTasks(), j.startableWork())
 	return j.rankInputs(now).rank()
 }
 
-// missesObjective reports whether j's rank is at least lateRankOffset, as it is if j could no
-// longer meet its objective when it was last ranked. Ranks are times on the entry's clock, so the
-// result is also true of any job whose adjusted latest start is at lateRankOffset or later.
+// missesObjective reports whether j could no longer meet its objective when it was last ranked.
 func (j *job) missesObjective() bool {
-	return j.rank >= lateRankOffset
+	return j.rank.late
 }
--- a/owner/refusal.go
+++ b/owner/refusal.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -162,7 +161,7 @@
 		j.rank = j.rankAt(now)
 	}
 	order := slices.Clone(q.waiting)
-	slices.SortFunc(order, func(a, b *job) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortFunc(order, func(a, b *job) int { return a.rank.compare(b.rank) })
 	ahead := 0.0 // core-seconds
 	earlierJobMeets := false
 	for _, j := range order {
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		pending++
-		if j.rank < a.requestRank-minRankGain {
+		if j.rank.moreUrgent(a.requestRank, minRankGain) {
 			o.addRoomRequest(now, q, a, j, step)
 		}
 	}
@@ -141,7 +141,7 @@
 	a.usedAt = now
 	o.markDirty(a)
 	a.out.RoomRequest = &peer.RoomRequest{
-		Slack: j.rank - now,
+		Slack: j.rank.slack(now),
 		Needs: j.desc.Steps[step].Needs,
 		Total: q.demand(a.profile.Capacity),
 	}
@@ -225,7 +225,7 @@
 		if rating == noFit || !o.mayStart(j) {
 			continue
 		}
-		if best == nil || rating > o.fit(now, best, a) || rating == o.fit(now, best, a) && j.rank < best.rank {
+		if best == nil || rating > o.fit(now, best, a) || rating == o.fit(now, best, a) && j.rank.compare(best.rank) < 0 {
 			best = j
 		}
 	}
--- a/owner/rules_test.go
+++ b/owner/rules_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// TestJobsMeetObjectivesAfterLongUptime guards against an entry that counts each job as too
+// late for its objective once the process has run for an hour.
+func TestJobsMeetObjectivesAfterLongUptime(t *testing.T) {
+	for _, uptime := range []time.Duration{10 * time.Second, 59 * time.Minute, 2 * time.Hour} {
+		t.Run(uptime.String(), func(t *testing.T) {
+			b := newHarness(t, "a")
+			b.now += uptime
+			b.reportState("a", 0, 1, 0)
+			b.submit(jobOf("1", 1))
+			j := b.jobs["1"]
+			j.rank = j.rankAt(b.now)
+			assert.Assert(t, b.now <= j.rankInputs(b.now).latestStart())
+			assert.Assert(t, !j.missesObjective())
+		})
+	}
+}
+
 // Guards against serving a less urgent job first.
 func TestMoreUrgentJobRanksFirst(t *testing.T) {
 	usual := rankInputs{now: time.Second, objectiveAt: 1500 * ms, lateObjectiveAt: 2500 * ms, remaining: 200 * ms,
@@ -72,11 +89,13 @@
 		{"started job", with(func(r *rankInputs) { r.started, r.objectiveAt = true, r.objectiveAt+30*ms }), usual},
 		{"can meet its objective", with(func(r *rankInputs) { r.objectiveAt += time.Minute }),
 			with(func(r *rankInputs) { r.objectiveAt = r.now })},
+		{"can meet its objective hours later", with(func(r *rankInputs) { r.objectiveAt += 3 * time.Hour }),
+			with(func(r *rankInputs) { r.objectiveAt = r.now })},
 		{"late jobs: earlier late objective",
 			with(func(r *rankInputs) { r.objectiveAt, r.lateObjectiveAt = r.now, r.now+600*ms }),
 			with(func(r *rankInputs) { r.objectiveAt, r.lateObjectiveAt = r.now, r.now+700*ms })},
 	} {
-		assert.Assert(t, c.first.rank() < c.second.rank(), c.name)
+		assert.Assert(t, c.first.rank().compare(c.second.rank()) < 0, c.name)
 	}
 }
 
