supervisor: runs of a target that restarts under its ID end with their cause

Callers: a job whose tasks ran on targets that shut down as announced was given up after a few such losses, and a task that crashes its targets was not recognised, if the targets restarted under the IDs that they had.

Cause: such runs end when the new process has listed its own. dropAbsent ended them as run-absent; the report that says whether the shutdown was announced belonged to the new process by then.

Evidence: TestRestartedTargetReportsWhyRunsWereLost failed in both cases (run-absent for run-target-left and for run-target-gone).

Fix: targetRestarted determines the cause from the report of the old process and keeps it with the run.

--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -24,11 +24,11 @@
 }
 
 // lossReason returns the reason for the end of r, whose incarnation is over. A run that is
-// not known to have started may never have done so. Whether a shutdown was announced is
-// taken from the current report: after a restart under the same id, that is the report of
-// the new process.
+// not known to have started may never have done so.
 func (t *target) lossReason(r *run) code.Code {
 	switch {
+	case r.beforeRestart:
+		return r.lossReason
 	case t.shutdownAnnounced():
 		return code.RunTargetShutDown
 	case !r.started:
--- a/supervisor/renewal.go
+++ b/supervisor/renewal.go
@@ -148,10 +148,18 @@
 		if present[r.name] == r.order.Run || !r.cannotStart || r.cannotStartSince > c.sent {
 			continue
 		}
-		end := task.EndRejected
-		if r.started {
-			end = task.EndLost
-		}
-		s.finish(now, r, end, code.RunAbsent)
+		s.finishAbsent(now, r)
+	}
+}
+
+// finishAbsent ends a run that is certain not to exist on the target.
+func (s *Supervisor) finishAbsent(now time.Duration, r *run) {
+	switch {
+	case !r.started:
+		s.finish(now, r, task.EndRejected, code.RunAbsent)
+	case r.beforeRestart:
+		s.finish(now, r, task.EndLost, s.target.lossReason(r))
+	default:
+		s.finish(now, r, task.EndLost, code.RunAbsent)
 	}
 }
--- a/supervisor/restart.go
+++ b/supervisor/restart.go
@@ -29,6 +29,7 @@
 func (s *Supervisor) targetRestarted(now time.Duration, seenBy string) {
 	s.logIncarnationOver(seenBy)
 	for _, r := range s.runs {
+		r.lossReason = s.target.lossReason(r)
 		r.beforeRestart = true
 	}
 	s.reportCrashed()
@@ -41,7 +42,7 @@
 
 // endRunsBeforeRestart ends the remaining runs of the previous process, which are certain not
 // to exist in the current one. Those that could no longer start, such as all runs known to
-// have started, have been ended by dropAbsent, with the reason RunAbsent.
+// have started, have been ended by dropAbsent.
 func (s *Supervisor) endRunsBeforeRestart(now time.Duration) {
 	for _, r := range s.sortedRuns() {
 		if r.beforeRestart {
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -103,3 +103,33 @@
 	b.answerRenewalFrom(200)
 	assert.Equal(t, b.sentEnds()[0].End, task.EndLost)
 }
+
+// TestRestartedTargetReportsWhyRunsWereLost guards against a run that is reported as absent, and
+// counted as a loss of its task, although the target had announced its shutdown, and against a
+// crash that is not recorded, if the target restarts under the same id.
+func TestRestartedTargetReportsWhyRunsWereLost(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		draining bool
+		reason   code.Code
+	}{
+		{"shutdown announced", true, code.RunTargetShutDown},
+		{"crash", false, code.RunTargetGone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHarnessWithStartTime(t)
+			b.sendOrders(order(0, 1000))
+			b.StartAnswered(b.now, b.starts[0], b.reply(Accepted))
+			if c.draining {
+				r := b.report("i-1", 3)
+				r.StartedUnixMS, r.Draining = 100, true
+				b.Heartbeat(b.now, r)
+			}
+			b.restartTarget()
+			b.answerRenewalFrom(200)
+			assert.Equal(t, len(b.sentEnds()), 1)
+			assert.Equal(t, b.sentEnds()[0].End, task.EndLost)
+			assert.Equal(t, b.sentEnds()[0].Reason, c.reason)
+		})
+	}
+}
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -59,8 +59,10 @@
 	cannotStartSince time.Duration
 
 	// beforeRestart is set when the target has restarted under the same id since the order:
-	// the run may be over, or may start in the new process.
+	// the run may be over, or may start in the new process. lossReason is the reason for its end
+	// if it is over.
 	beforeRestart bool
+	lossReason    code.Code
 
 	stopping  bool
 	stoppedAt time.Duration // when the stop was decided
