supervisor: a late deregistration does not end the work of a restarted target

Callers had less capacity: a target that had restarted under its ID got no work any more if the deregistration of the process before arrived late.

Cause: a deregistration names the ID only, marked the current incarnation as draining, and an incarnation that drains continues to do so.

Evidence: TestDelayedDeregistrationDoesNotStopRestartedTarget failed: not accepting after a heartbeat in state ready. Found while what relies on a new ID after a crash was looked for.

Fix: if an incarnation drains only because of a deregistration, its next heartbeat decides, since a target sends none after its deregistration.

--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -35,6 +35,9 @@
 	// restartedID is the id under which the target has restarted, while runs of the
 	// previous process have not certainly ended; otherwise empty.
 	restartedID string
+	// deregistered is set if report is draining only because of a deregistration, which may be a
+	// delayed one of an earlier process with the same id.
+	deregistered bool
 	// ended holds the latest incarnations known to be over.
 	ended []Incarnation
 }
@@ -97,6 +100,10 @@
 		s.logCold(r)
 	}
 	s.warmup.update(now, r.WarmupLeft)
+	if t.deregistered && !r.Draining {
+		t.report.Draining = false // a target sends no heartbeat after its deregistration
+	}
+	t.deregistered = false
 	r.Draining = r.Draining || t.report.Draining // an incarnation that drains continues to do so
 	t.report = &r
 	t.reportAt = now
@@ -161,6 +168,7 @@
 // resetIncarnation discards all state of the current incarnation.
 func (s *Supervisor) resetIncarnation(now time.Duration) {
 	s.target.report = nil
+	s.target.deregistered = false
 	s.target.cleared = false
 	s.target.token = 0
 	s.target.lastSeen = 0
@@ -191,6 +199,7 @@
 	defer s.flush(now)
 	if s.target.id() == id {
 		s.logDeregistered()
+		s.target.deregistered = !s.target.report.Draining
 		s.target.report.Draining = true
 		s.markChanged()
 	}
--- a/supervisor/restart_test.go
+++ b/supervisor/restart_test.go
@@ -133,3 +133,18 @@
 		})
 	}
 }
+
+// TestDelayedDeregistrationDoesNotStopRestartedTarget guards against a target that gets no work
+// after a restart under the same id, because the previous process's notice arrives late.
+func TestDelayedDeregistrationDoesNotStopRestartedTarget(t *testing.T) {
+	b := newHarnessWithStartTime(t)
+	b.restartTarget()
+	b.answerRenewalFrom(200)
+	assert.Assert(t, b.accepting(b.now))
+	b.Deregister(b.now, "i-1")
+	assert.Assert(t, !b.accepting(b.now))
+	r := b.report("i-1", 2)
+	r.StartedUnixMS = 200
+	b.Heartbeat(b.now, r)
+	assert.Assert(t, b.accepting(b.now))
+}
