testutil/fleet: frames of a closed connection do not reach the entry

Seed 9843 ran a task twice at once: the entry got frames of a connection that it had closed after it had opened the next one, saw room at an agent whose hello it had not received, and started a job unclaimed.

Cause: the emulator compared the frame's connection with the one at the agent, which learns of the new connection later than the entry.

Evidence: a trace of the frames (the state arrives 1.8 ms before the hello, at protocol level 0); node.Entry.receive drops frames of any connection but the current one, so the case can't occur in the product.

Fix: the link knows the connection at the entry and compares with that.

--- a/testutil/fleet/link.go
+++ b/testutil/fleet/link.go
@@ -17,7 +17,8 @@
 	w                  *World
 	e                  *entryProcess
 	a                  *agentProcess
-	id                 supervisor.ConnID // of the current connection
+	id                 supervisor.ConnID // of the current connection at the agent
+	idAtEntry          supervisor.ConnID // of the current connection at the entry
 	openAtEntry        bool              // connection state at the entry
 	openAtAgent        bool              // connection state at the agent
 	dialing            bool
@@ -126,7 +127,7 @@
 	w.lastConn++
 	id := supervisor.ConnID(w.lastConn)
 	entryIncarnation, agentIncarnation := l.e.incarnation, l.a.incarnation
-	l.openAtEntry = true
+	l.openAtEntry, l.idAtEntry = true, id
 	l.echoAtEntry, l.echoAtAgent, l.lastSeq = peer.PeerClock{}, 0, 0
 	l.silentToAgent, l.silentToEntry = false, false
 	l.e.execute(entryIncarnation, func() {
@@ -293,8 +294,8 @@
 	}
 	l.w.after(l.arrivalDelay(&l.lastArrivalAtEntry), func() {
 		l.e.execute(incarnation, func() {
-			if !l.openAtEntry || l.id != id {
-				return
+			if !l.openAtEntry || l.idAtEntry != id {
+				return // no connection, or one that was opened after the send
 			}
 			l.echoAtEntry.Observe(l.e.clock(), sent.Stamp)
 			l.e.owner.Receive(l.e.clock(), l.a.name, &sent)
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -80,6 +80,22 @@
 	})
 }
 
+// TestFramesOfClosedConnectionsAreDropped guards against an emulator that delivers frames of a closed
+// connection after the next one was opened, as node.Entry never does: a job was then started unclaimed.
+func TestFramesOfClosedConnectionsAreDropped(t *testing.T) {
+	w := New(duplicatesAtLostHomes(9843))
+	w.Run()
+	assert.Equal(t, w.Violation, "")
+}
+
+// duplicatesAtLostHomes returns histories in which entries with duplicates of a job lose its homes.
+func duplicatesAtLostHomes(seed uint64) Config {
+	cfg := DefaultConfig(seed)
+	cfg.DuplicateShare, cfg.Entries, cfg.Agents = 0.4, 3, 5
+	cfg.Kinds, cfg.Faults = []FaultKind{KillEntry, KillAgent, IsolateEntry, ResetClients, DelayOrders}, 12
+	return cfg
+}
+
 // TestDuplicateSubmissionDoesNotRunTaskTwice guards against running a task again for a
 // duplicate that arrives early or late, without faults.
 func TestDuplicateSubmissionDoesNotRunTaskTwice(t *testing.T) {
