owner: a job that has lost a home waits for one of its first homes

A task ran twice at once if a copy of its job reached an entry that had lost both homes of the job: the entry claimed the job at other agents, which knew nothing of it, while another entry held it at the homes.

Cause: each home that leaves a claim unanswered is replaced, also the last of the first ones.

Fix: an unclaimed job that has lost a home starts only once one of the homes that it had before the loss has granted the claim.

--- a/owner/claim_test.go
+++ b/owner/claim_test.go
@@ -424,3 +424,23 @@
 		})
 	}
 }
+
+// TestJobWaitsForOneOfItsFirstHomes guards against a second run of a job at an entry that has lost
+// both homes of the job, while another entry holds the job there.
+func TestJobWaitsForOneOfItsFirstHomes(t *testing.T) {
+	b := newClaimHarness(t, 6)
+	b.submit(jobOf("1", 1))
+	homes := b.homesOf("1")
+	for _, a := range homes {
+		b.Disconnected(b.now, b.now, a.name)
+	}
+	replacements := b.grantAll("1")
+	assert.Equal(t, len(replacements), 2)
+	b.advance(100 * ms)
+	assert.Equal(t, len(b.allStarts()), 0)
+
+	b.Connected(b.now, homes[1].name)
+	b.Receive(b.now, homes[1].name, &peer.Frame{Hello: &peer.Hello{Role: peer.RoleAgent, Level: peer.LevelNewest}})
+	b.reply(homes[1], claim.Reply{Job: "1", State: claim.Granted})
+	assert.Equal(t, len(b.allStarts()), 1)
+}
--- a/owner/home.go
+++ b/owner/home.go
@@ -106,9 +106,21 @@
 	return slices.ContainsFunc(j.homes, func(h home) bool { return h.agent.profile.Hall == hall })
 }
 
+// lostFirstHomes reports whether j has lost a home and none of its first homes has granted the
+// claim. Another entry may then hold j at homes that this entry does not reach. A job with a single
+// home moves to the next one.
+func (j *job) lostFirstHomes() bool {
+	return j.homeLost && j.homeCount > 1 && !slices.ContainsFunc(j.homes, func(h home) bool {
+		return (h.state == granted || h.state == outranked) && slices.Contains(j.firstHomes, h.agent)
+	})
+}
+
 // addHome claims j at a.
 func (o *Owner) addHome(now time.Duration, j *job, a *agent) {
 	o.link.add(now, frameBytes)
+	if !j.homeLost {
+		j.firstHomes = append(j.firstHomes, a)
+	}
 	j.homes = append(j.homes, home{agent: a, rank: claim.RankOf(j.hash, a.hash), askedAt: now + o.link.delay(now, 0)})
 	slices.SortFunc(j.homes, func(x, y home) int { return cmp.Compare(x.rank, y.rank) })
 	lifetime := time.Duration(0)
@@ -143,6 +155,7 @@
 			continue
 		}
 		j.homes = slices.Delete(j.homes, k, k+1)
+		j.homeLost = true
 		o.sendSettlement(a, j.releaseOf(true), false)
 		if o.cancelIfAbandoned(now, j) {
 			continue
--- a/owner/job.go
+++ b/owner/job.go
@@ -80,6 +80,10 @@
 	contestedAt time.Duration
 	// homeCount is the number of homes that the job should have.
 	homeCount int
+	// firstHomes lists the homes that were chosen before the job lost one. homeLost is set once it
+	// has lost one.
+	firstHomes []*agent
+	homeLost   bool
 	// earlierRun reports whether an earlier submission of the job may have run, here or at
 	// another entry.
 	earlierRun bool
--- a/owner/suspension.go
+++ b/owner/suspension.go
@@ -33,7 +33,7 @@
 	o.isolatedUntil = now + resumeIsolationTime
 	o.isolated = true
 	for _, j := range o.sortedJobs() {
-		j.homes = nil
+		j.homes, j.firstHomes, j.homeLost = nil, nil, false
 		j.claimedAt = 0
 	}
 }
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -96,6 +96,17 @@
 	return cfg
 }
 
+// TestDuplicatesAtFrozenEntriesRunOnce guards against two runs of a task at one time if entries
+// are frozen and isolated while they hold duplicates of a job.
+func TestDuplicatesAtFrozenEntriesRunOnce(t *testing.T) {
+	cfg := DefaultConfig(21061)
+	cfg.DuplicateShare, cfg.Entries, cfg.Agents = 0.9, 3, 5
+	cfg.Kinds, cfg.Faults = []FaultKind{FreezeEntry, IsolateEntry, ResetClients, DelayOrders}, 14
+	w := New(cfg)
+	w.Run()
+	assert.Equal(t, w.Violation, "")
+}
+
 // TestDuplicateSubmissionDoesNotRunTaskTwice guards against running a task again for a
 // duplicate that arrives early or late, without faults.
 func TestDuplicateSubmissionDoesNotRunTaskTwice(t *testing.T) {
