owner: the end of an overdue run keeps the backoff of its agent

A task that hung at a target was ordered there again 30 ms after its overdue run had been stopped.

Cause: the reported end replaced the 3 s that stopRun sets by the 30 ms of any ended run.

Evidence: TestReportedEndKeepsBackoffOfOverdueRun failed: 30 ms in place of 2.32 s.

Fix: avoidAgent keeps the later time for the same agent.

--- a/owner/retry.go
+++ b/owner/retry.go
@@ -22,9 +22,9 @@
 	overdueFactor     = 2.5
 	overdueSlack      = 100 * time.Millisecond
 	// failureBackoff is how long a task avoids an agent at which a run failed, or at which a run
-	// was ordered to stop and has not ended. rejectionBackoff is how long it avoids an agent
-	// whose target rejected the order, or at which a run has ended by a stop, an expired lease
-	// or the loss of the target. An agent that rejects an order itself reports its new state in
+	// was ordered to stop because it was overdue or the target was ejected. rejectionBackoff is
+	// how long it avoids an agent whose target rejected the order, or at which a run has ended
+	// by an expired lease or the loss of the target. An agent that rejects an order itself reports its new state in
 	// the same frame and needs no backoff.
 	failureBackoff   = 3 * time.Second
 	rejectionBackoff = 30 * time.Millisecond
@@ -85,9 +85,12 @@
 	o.logMoved(now, id, t, a, why)
 }
 
-// avoidAgent excludes a for the task until the given time. It replaces the agent and the time of
-// an earlier call.
+// avoidAgent excludes a for the task until the given time. It replaces the agent of an earlier call;
+// for the same agent, the later time applies.
 func (t *taskState) avoidAgent(a *agent, until time.Duration) {
+	if t.avoid == a.name {
+		until = max(until, t.avoidUntil)
+	}
 	t.avoid = a.name
 	t.avoidUntil = until
 }
@@ -123,7 +126,7 @@
 		}
 	case task.EndRejected:
 		o.recordRejection(now, a, j, t, e.Reason)
-	default: // stopped, lapsed or lost; replaces the failureBackoff of stopRun
+	default: // stopped, lapsed or lost
 		t.avoidAgent(a, now+rejectionBackoff)
 	}
 	j.setPhase(id.Step, id.Index, waiting)
--- a/owner/retry_test.go
+++ b/owner/retry_test.go
@@ -26,3 +26,18 @@
 			"the job counts as started only if the order reached the target: "+why.String())
 	}
 }
+
+// TestReportedEndKeepsBackoffOfOverdueRun guards against ordering a task again at once at the
+// agent where its run was overdue.
+func TestReportedEndKeepsBackoffOfOverdueRun(t *testing.T) {
+	b := newHarness(t, "a", "b")
+	b.reportState("a", 4000, 1, 0)
+	b.submit(jobOf("1", 1))
+	o := b.starts("a")[0]
+	task1 := &b.jobs["1"].steps[0].tasks[0]
+	b.stopRun(b.now, b.agents["a"], o.Task, task1, code.RunMovedOverdue)
+	b.now += 680 * ms
+	b.reportEnd("a", o, task.EndStopped, code.RunOwnerStops)
+	assert.Assert(t, !b.allowed(b.now, b.jobs["1"], 0, task1, b.agents["a"]))
+	assert.Equal(t, task1.avoidUntil-b.now, failureBackoff-680*ms)
+}
