claim: a cancellation of a refused job returns the rest of the delay

The reply to a cancellation of a refused job held the whole time to come back, counted from the refusal and not from the reply.

Cause: cancel replied with the stored answer, Claim with answerAt.

Evidence: TestCancellationOfRefusedJobReturnsRemainingDelay failed: 1 s in place of 600 ms, 400 ms after the refusal.

Fix: both use answerAt. No caller was seen to be sent the wrong delay: an entry answers a cancellation with the outcome alone.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -250,7 +250,7 @@
 }
 
 // cancel forwards a caller's cancellation to the holder of the job and retains it as the
-// answer. If the job is answered, the reply is that answer with the original retry delay. The
+// answer. If the job is answered, the reply is that answer with the remaining retry delay. The
 // record of a job without a holder is kept: a later claim needs to know whether the job may have
 // run.
 func (g *Registry) cancel(now time.Duration, conn ConnID, job string, r *record) {
@@ -259,7 +259,7 @@
 		g.Reply(conn, Reply{Job: job, State: Unknown})
 		return
 	case r.answer.State == Answered:
-		g.Reply(conn, r.answer)
+		g.Reply(conn, r.answerAt(now))
 		return
 	}
 	if r.conn != 0 {
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -191,6 +191,17 @@
 	}
 }
 
+// TestCancellationOfRefusedJobReturnsRemainingDelay guards against callers that come back later than
+// they were asked to.
+func TestCancellationOfRefusedJobReturnsRemainingDelay(t *testing.T) {
+	g := newHarness()
+	g.claim(a, 1, "j")
+	g.Settle(g.now, a, Settlement{Job: "j", Outcome: Refused, Retry: time.Second, Clear: true})
+	g.advance(400 * ms)
+	g.Claim(g.now, b, 2, Claim{Job: "j", Cancel: true})
+	assert.DeepEqual(t, g.lastReply(2), Reply{Job: "j", State: Answered, Outcome: Refused, Retry: 600 * ms})
+}
+
 // TestLateAnswerReachesNewHolder guards against losing the answer of an entry that was
 // presumed lost and whose job was taken over.
 func TestLateAnswerReachesNewHolder(t *testing.T) {
