node: TestHeartbeatWakesBothRenewLoops shares its state safely

`go test -race ./node` reported a race: two renewals count their calls and record the time of the first one without a lock, and the test reads it.

--- a/node/renewal_test.go
+++ b/node/renewal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,17 +19,16 @@
 // parallel renewal but does not wake renewLoop to serve the target's new incarnation.
 func TestHeartbeatWakesBothRenewLoops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var served time.Time
-		calls := 0
+		var served atomic.Pointer[time.Time]
+		var calls atomic.Int32
 		renew := func(c supervisor.RenewCall) (supervisor.Reply, *supervisor.RunLists) {
-			calls++
+			call := calls.Add(1)
 			switch {
 			case c.Incarnation.ID == "i-2":
-				if served.IsZero() {
-					served = time.Now()
-				}
+				now := time.Now()
+				served.CompareAndSwap(nil, &now)
 				time.Sleep(time.Second)
-			case calls == 1: // the parallel renewal, which pauses
+			case call == 1: // the parallel renewal, which pauses
 				return supervisor.Reply{Outcome: supervisor.NoAnswer, Err: errors.New("lost")}, nil
 			}
 			time.Sleep(time.Millisecond)
@@ -47,7 +47,8 @@
 		began := time.Now()
 		a.Heartbeat(supervisor.Report{ID: "i-2", Seq: 1})
 		time.Sleep(10 * time.Millisecond)
-		assert.Check(t, !served.IsZero() && served.Sub(began) < 10*time.Millisecond,
+		first := served.Load()
+		assert.Check(t, first != nil && first.Sub(began) < 10*time.Millisecond,
 			"the new incarnation was not served within 10 ms")
 		cancel()
 		time.Sleep(2 * time.Second) // let calls in flight end
