owner: BenchmarkDecision grants claims and checks that jobs are completed

The benchmark ended with an index out of range at 11 agents: it was written before jobs were claimed, so no order was sent, and entries are isolated until a moment after their first connection.

--- a/owner/decision_bench_test.go
+++ b/owner/decision_bench_test.go
@@ -6,28 +6,24 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/claim"
 	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
-// BenchmarkDecision measures one task from submission to answer, with its room requests,
+// BenchmarkDecision measures one task from submission to answer, with its claims, room requests,
 // reservation, order and end, and its share of the ticks at 1,300 jobs a second.
 func BenchmarkDecision(b *testing.B) {
 	const jobsPerTick = 1300 * int(TickInterval) / int(time.Second)
 	for _, agents := range []int{11, 70, 240, 1200} {
 		b.Run(fmt.Sprint(agents), func(b *testing.B) {
 			o := newFleet(agents)
-			now := time.Hour
-			var asked []string
-			var orders []task.Order
-			o.Send = func(agent string, f *peer.Frame) uint64 {
-				if f.RoomRequest != nil {
-					asked = append(asked, agent)
-				}
-				orders = append(orders, f.Starts...)
-				return 1
-			}
-			state := halfFull("")
+			now := time.Hour + startupIsolationTime
+			o.Tick(now)
+			var s sentFrames
+			o.Send = s.add
 			b.ReportAllocs()
 			n := 0
 			for b.Loop() {
@@ -37,21 +33,52 @@
 					o.Tick(now)
 					o.Heartbeats(now)
 				}
-				asked, orders = asked[:0], orders[:0]
-				o.Submit(now, jobOf(fmt.Sprint(n), 1), func(Answer) {})
-				agent := asked[0]
-				o.Receive(now, agent, &peer.Frame{State: state,
-					Reservation: &peer.Reservation{ID: 1, Room: task.Resources{CPU: 4000, MemoryMB: 100}}})
-				o.Receive(now, agent, &peer.Frame{Ended: []peer.RunEnd{{
-					Ref: task.Ref{Task: orders[0].Task, Run: 1}, End: task.EndDone, Took: 100 * ms}}})
-				for _, other := range asked[1:] {
-					o.Receive(now, other, &peer.Frame{State: state, Reservation: &peer.Reservation{ID: 2}})
-				}
+				runOneTask(o, now, &s, fmt.Sprint(n))
 			}
+			assert.Equal(b, o.Stats().Completed, uint64(n))
 		})
 	}
 }
 
+// sentFrames records what an owner sends, in the order of the frames.
+type sentFrames struct {
+	claimed, asked, started []string // agents
+	orders                  []task.Order
+}
+
+// add is the Send function of the owner.
+func (s *sentFrames) add(agent string, f *peer.Frame) uint64 {
+	for range f.Claims {
+		s.claimed = append(s.claimed, agent)
+	}
+	if f.RoomRequest != nil {
+		s.asked = append(s.asked, agent)
+	}
+	for _, o := range f.Starts {
+		s.started = append(s.started, agent)
+		s.orders = append(s.orders, o)
+	}
+	return 1
+}
+
+// runOneTask submits a job of one task, grants its claims, reserves room at the first agent that
+// is asked, and reports the end of the run. The other agents have no room.
+func runOneTask(o *Owner, now time.Duration, s *sentFrames, id string) {
+	*s = sentFrames{claimed: s.claimed[:0], asked: s.asked[:0], started: s.started[:0], orders: s.orders[:0]}
+	o.Submit(now, jobOf(id, 1), func(Answer) {})
+	for _, home := range s.claimed {
+		o.Receive(now, home, &peer.Frame{Claimed: []claim.Reply{{Job: id, State: claim.Granted}}})
+	}
+	state := halfFull("")
+	room := task.Resources{CPU: 4000, MemoryMB: 100}
+	for k, agent := range s.asked {
+		o.Receive(now, agent, &peer.Frame{State: state, Reservation: &peer.Reservation{ID: uint64(k + 1), Room: room}})
+		room = task.Resources{}
+	}
+	o.Receive(now, s.started[0], &peer.Frame{Ended: []peer.RunEnd{{
+		Ref: task.Ref{Task: s.orders[0].Task, Run: 1}, End: task.EndDone, Took: 100 * ms}}})
+}
+
 // halfFull returns the state of a target in a hall with half of its room free.
 func halfFull(hall string) *peer.State {
 	return &peer.State{Profile: &peer.Profile{Service: "trackd", Hall: hall,
