--- a/testutil/fleet/world.go
+++ b/testutil/fleet/world.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"strings"
@@ -36,6 +37,8 @@
 type Config struct {
 	Seed            uint64
 	Entries, Agents int
+	// Uptime is the reading of all clocks at the start of the history; zero means one second.
+	Uptime time.Duration
 	// Jobs arrive every Interval on average for Length. The last fault begins at least FaultFreeTail
 	// before the end of Length.
 	Length, Interval, FaultFreeTail time.Duration
@@ -181,7 +184,7 @@
 func New(cfg Config) *World {
 	w := &World{
 		cfg:          cfg,
-		queue:        vtime.NewQueue(time.Second),
+		queue:        vtime.NewQueue(cmp.Or(cfg.Uptime, time.Second)),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, 7)),
 		workloadRand: rand.New(rand.NewPCG(cfg.Seed, 11)),
 		crashRand:    rand.New(rand.NewPCG(cfg.Seed, 17)),
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -42,6 +44,37 @@
 	playHistories(t, 1000, 400, func(*Config) {})
 }
 
+// TestHistoriesDoNotDependOnUptime guards against decisions that compare a time on a process's clock
+// with a fixed one: each history is the same whenever it starts.
+func TestHistoriesDoNotDependOnUptime(t *testing.T) {
+	burst := func(seed uint64, uptime time.Duration) *World {
+		cfg := WorkloadConfig(seed, 3, 11, TrackingWorkload(11, 0.85))
+		cfg.Uptime = uptime
+		w := New(cfg)
+		surge(1.8)(w)
+		return w
+	}
+	faults := func(seed uint64, uptime time.Duration) *World {
+		cfg := DefaultConfig(seed)
+		cfg.Uptime = uptime
+		return New(cfg)
+	}
+	for name, start := range map[string]func(uint64, time.Duration) *World{"burst": burst, "faults": faults} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprintf("%s %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				uptime := time.Second + time.Duration(rand.New(rand.NewPCG(seed, 19)).Int64N(int64(48*time.Hour)))
+				young, old := start(1000+seed, time.Second), start(1000+seed, uptime)
+				young.Run()
+				old.Run()
+				assert.Equal(t, old.Violation, "")
+				assert.DeepEqual(t, old.Counts, young.Counts)
+				assert.Equal(t, old.Frames, young.Frames, "uptime %s", uptime)
+			})
+		}
+	}
+}
+
 // TestMixedVersionsKeepInvariants guards against violations while some processes run the
 // previous version, as during a rolling upgrade.
 func TestMixedVersionsKeepInvariants(t *testing.T) {
