--- a/owner/watch.go
+++ b/owner/watch.go
@@ -82,7 +82,7 @@
 // are being submitted and too few agents are watched.
 func (o *Owner) adjustWatches(now time.Duration) {
 	keep := minWatched
-	if now-max(o.lastJobAt, o.firstConnectedAt) > idleTime {
+	if now-max(o.lastJobAt, o.firstConnectedAt) >= idleTime {
 		keep = 0
 	}
 	o.endEvacuatedWatches()
