Tests that checked less than they said check it

- TestJobCompletesOnlyAfterAllTasks compares the count that it kept.
- TestEvacuatedHallGetsNoWork: the sum had the same term on both sides.
- TestIsolatedEntryStartsNoNewJobs requires that claims were granted.
- TestLostReplyStartsSecondRenewal: the last check held without runs; it has one now, which needs the second renewal first.

All pass without a change of the product.

--- a/owner/claim_test.go
+++ b/owner/claim_test.go
@@ -249,11 +249,13 @@
 		b.Tick(b.now)
 	}
 	assert.Assert(t, b.Isolated())
+	granted := 0
 	for n := range 20 {
 		if b.jobs[fmt.Sprint(n)] != nil { // not refused since
-			b.grantAll(fmt.Sprint(n))
+			granted += len(b.grantAll(fmt.Sprint(n)))
 		}
 	}
+	assert.Assert(t, granted > 0)
 	assert.Equal(t, len(b.allStarts()), 0)
 	for _, a := range b.byName {
 		b.Receive(b.now, a.name, &peer.Frame{})
--- a/owner/evacuation_test.go
+++ b/owner/evacuation_test.go
@@ -50,7 +50,7 @@
 	b.advance(100 * ms)
 	assert.Equal(t, len(b.starts("mtm")), before)
 	assert.Assert(t, !b.agents["mtm"].roomRequested && b.agents["sulph"].roomRequested)
-	assert.Equal(t, len(b.starts("sulph"))+before, 4+before)
+	assert.Equal(t, len(b.starts("sulph")), 4) // all of its room
 
 	b.evacuate(9)
 	assert.Equal(t, len(b.starts("mtm")) > before, true, "waiting tasks start there after the evacuation")
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -108,6 +108,7 @@
 			left--
 		}
 	}
+	assert.Equal(t, left, 0)
 	assert.Equal(t, b.answers["1"].Kind, Completed)
 }
 
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -307,6 +307,8 @@
 	b.RenewalAnswered(b.now, first, b.reply(Accepted), lists)
 	assert.Equal(t, len(b.sentEnds()), 1)          // reported once
 	assert.Assert(t, !b.NeedsSecondRenewal(b.now)) // no active runs
+	b.sendOrders(order(2, 1000))
+	assert.Assert(t, b.NeedsSecondRenewal(b.now))
 	assert.Assert(t, !b.NeedsSecondRenewal(b.now+lossyDuration))
 }
 
--- a/testutil/fleet/operator_test.go
+++ b/testutil/fleet/operator_test.go
@@ -73,7 +73,19 @@
 // TestEvacuationReachesEntriesCutFromStore guards against losing an evacuation that the store
 // delivers only to one entry, which soon ends: agents must forward it to the other entries.
 func TestEvacuationReachesEntriesCutFromStore(t *testing.T) {
-	w := evacuationWorld(2, 4, 12)
+	var delays []time.Duration
+	for seed := range uint64(3) {
+		delays = append(delays, evacuateThroughOneEntry(t, 2+seed)...)
+	}
+	assert.Assert(t, len(delays) > 0)
+	assert.Assert(t, slices.Max(delays) < 200*time.Millisecond, "%s", slices.Max(delays))
+}
+
+// evacuateThroughOneEntry plays the evacuation of a hall that one entry reads from the store and
+// returns the delays of the starts after the request.
+func evacuateThroughOneEntry(t *testing.T, seed uint64) []time.Duration {
+	t.Helper()
+	w := evacuationWorld(seed, 4, 12)
 	w.At(4*time.Second, func() {
 		for _, e := range w.entries[1:] {
 			e.storeUnreachableUntil = w.now() + 8*time.Second
@@ -91,8 +103,7 @@
 	})
 	w.Run()
 	assert.Equal(t, w.Violation, "")
-	assert.Assert(t, slices.Max(w.operator.startDelays) < 200*time.Millisecond, "%s",
-		slices.Max(w.operator.startDelays))
+	return w.operator.startDelays
 }
 
 // TestJobsAreRefusedWhileAllHallsAreEvacuated guards against starting jobs during the
