owner: comparison of two jobs' fit in a function of its own, comments rewrapped

Read through as a newcomer: the condition in nextJobFor had grown past a line, a comment in retry.go past the width, and the exception in lostFirstHomes did not say why. No decision changes; decisions.golden is the same.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -25,8 +25,8 @@
 // mayStart reports whether the claims of j permit its tasks to start: no claim is unanswered or
 // held by another entry that keeps it, and no run of an earlier submission is left. A job
 // without homes may start unclaimed only if no connected agent supports claims. Jobs that were
-// not claimed before wait while this entry is isolated, is partitioned without a shared home, or has
-// lost the first homes of the job, because other entries may choose other homes for them.
+// not claimed before wait while this entry is isolated, is partitioned without a shared home, or
+// has lost the job's first homes, because other entries may choose other homes for them.
 func (o *Owner) mayStart(j *job) bool {
 	if o.dropped[j.desc.ID] != nil || len(j.homes) == 0 && j.homeCount > 0 && o.homesExist() {
 		return false
--- a/owner/home.go
+++ b/owner/home.go
@@ -107,8 +107,8 @@
 }
 
 // lostFirstHomes reports whether j has lost a home and none of its first homes has granted the
-// claim. Another entry may then hold j at homes that this entry does not reach. A job with a single
-// home moves to the next one.
+// claim. Another entry may then hold j at homes that this entry does not reach. A job that should
+// have a single home is excepted: no choice of the next home would exclude another holder.
 func (j *job) lostFirstHomes() bool {
 	return j.homeLost && j.homeCount > 1 && !slices.ContainsFunc(j.homes, func(h home) bool {
 		return (h.state == granted || h.state == outranked) && slices.Contains(j.firstHomes, h.agent)
--- a/owner/reservation.go
+++ b/owner/reservation.go
@@ -221,17 +221,26 @@
 	}
 	var best *job
 	for _, j := range q.waiting {
-		rating := o.fit(now, j, a)
-		if rating == noFit || !o.mayStart(j) {
+		if o.fit(now, j, a) == noFit || !o.mayStart(j) {
 			continue
 		}
-		if best == nil || rating > o.fit(now, best, a) || rating == o.fit(now, best, a) && j.rank.compare(best.rank) < 0 {
+		if best == nil || o.fitsBetter(now, j, best, a) {
 			best = j
 		}
 	}
 	return best
 }
 
+// fitsBetter reports whether j has a better fit at a than other or, with an equal fit, is more
+// urgent.
+func (o *Owner) fitsBetter(now time.Duration, j, other *job, a *agent) bool {
+	rating, otherRating := o.fit(now, j, a), o.fit(now, other, a)
+	if rating != otherRating {
+		return rating > otherRating
+	}
+	return j.rank.compare(other.rank) < 0
+}
+
 // fitRating rates whether the next task of a job may run at an agent, and whether its data is
 // there.
 type fitRating uint8
--- a/owner/retry.go
+++ b/owner/retry.go
@@ -24,8 +24,8 @@
 	// failureBackoff is how long a task avoids an agent at which a run failed, or at which a run
 	// was ordered to stop because it was overdue or the target was ejected. rejectionBackoff is
 	// how long it avoids an agent whose target rejected the order, or at which a run has ended
-	// by an expired lease or the loss of the target. An agent that rejects an order itself reports its new state in
-	// the same frame and needs no backoff.
+	// by an expired lease or the loss of the target. An agent that rejects an order itself
+	// reports its new state in the same frame and needs no backoff.
 	failureBackoff   = 3 * time.Second
 	rejectionBackoff = 30 * time.Millisecond
 	// maxTargetFailures is the number of target failures that a task may have beyond the
