--- a/supervisor/reservation.go
+++ b/supervisor/reservation.go
@@ -1,8 +1,6 @@
 package supervisor
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/beaconpoint/beaconpoint/peer"
@@ -13,9 +11,10 @@
 // retransmission.
 const reservationTTL = 40 * time.Millisecond
 
-// room accounts for the target's resources. Invariant: when a session's order has been added, use
-// plus all reservations does not exceed the capacity known then. The session's own reservations
-// do not limit its orders; an order takes the room from them if no other is left.
+// room accounts for the target's resources. Invariant: when a session's order is added, use
+// plus the reservations of the other sessions does not exceed the capacity known then. The
+// session's own reservations do not limit its orders, and remain until they expire unless the
+// frame names them as used; use plus all reservations may therefore exceed the capacity.
 type room struct {
 	used         task.Resources
 	reservations map[uint64]*reservation
@@ -46,21 +45,6 @@
 	return v
 }
 
-// trim reduces the reservations of c, latest first, to the room that is neither in use nor
-// reserved otherwise.
-func (r *room) trim(c *session, capacity task.Resources) {
-	ids := slices.Sorted(maps.Keys(r.reservations))
-	for _, id := range slices.Backward(ids) {
-		v := r.reservations[id]
-		if v.session != c {
-			continue
-		}
-		reserved := v.resources
-		v.resources = task.Resources{}
-		v.resources = minResources(reserved, r.freeFor(nil, capacity))
-	}
-}
-
 // dropSession drops the reservations of a session.
 func (r *room) dropSession(c *session) {
 	for id, v := range r.reservations {
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -93,7 +93,6 @@
 	s.runs[name] = r
 	c.runs++
 	s.room.used = s.room.used.Plus(order.Needs)
-	s.room.trim(c, s.target.report.Capacity)
 	s.markChanged()
 	r.probe = s.health.recordStart(now)
 	r.coldFraction, r.coldLogSlowdown = s.warmup.coldFraction(now), s.warmup.logSlowdown(now)
