--- /dev/null
+++ b/review/rig2/late_orders.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"syscall"
+	"time"
+)
+
+// Both cases of this file have one worker that leaves starts and stops unanswered and carries them
+// out late, while it goes on to answer holds.
+
+const (
+	lateFor    = 5500 * time.Millisecond
+	watchedFor = 9 * time.Second // from the disruption to the end of the traffic
+	longJobs   = 6
+)
+
+// longCheck is a seal check of the longest work that the users' site names. Its client waits for
+// three times its objective, 1.6 times its work and 60 ms.
+var longCheck = jobKind{"sealchk", 1, 1600, 3600 * time.Millisecond, 17460 * time.Millisecond}
+
+// shortCheck is a seal check whose client waits for the time of the users' sheet.
+var shortCheck = jobKind{"sealchk", 1, 1600, 900 * time.Millisecond, 1500 * time.Millisecond}
+
+// hungWorker plays a worker that hangs for lateFor while tasks run on it: they stand still, and
+// starts and stops are not answered and are carried out late.
+func hungWorker(s *system, withTrouble bool) error {
+	s.background(calm + watchedFor)
+	time.Sleep(calm)
+	hung, found := s.submitLong(shortCheck)
+	if !found {
+		return errNotReached
+	}
+	if withTrouble {
+		s.rec.note("%s hangs from now on: its tasks stand still, it leaves starts and stops unanswered", hung.name)
+		hung.setTrouble(trouble{late: true, still: true})
+	}
+	return s.finish(hung, withTrouble)
+}
+
+// lateStops plays a worker that leaves starts and stops unanswered for lateFor and carries them out
+// late, and the kill of the entry that has ordered runs there.
+func lateStops(s *system, withTrouble bool) error {
+	s.background(calm + watchedFor)
+	time.Sleep(calm)
+	slow, found := s.submitLong(longCheck)
+	if !found {
+		return errNotReached
+	}
+	if withTrouble {
+		s.rec.note("%s leaves starts and stops unanswered from now on", slow.name)
+		slow.setTrouble(trouble{late: true})
+		time.Sleep(300 * time.Millisecond)
+		s.rec.note("%s is killed (signal %d)", s.entries[0].name, syscall.SIGKILL)
+		s.entries[0].kill()
+	}
+	return s.finish(slow, withTrouble)
+}
+
+// background submits short jobs at all entries for the given time.
+func (s *system) background(d time.Duration) {
+	s.clients.traffic(posfix, 1, d)
+	s.clients.traffic(holdq, 4, d)
+}
+
+// submitLong submits longJobs jobs at the first entry. It returns the worker with the most of their
+// runs, and whether there is one.
+func (s *system) submitLong(kind jobKind) (*worker, bool) {
+	jobs := make(map[string]bool)
+	for range longJobs {
+		jobs[s.clients.submit(kind, 0)] = true
+	}
+	time.Sleep(300 * time.Millisecond)
+	most, runs := s.workers[0], 0
+	for _, w := range s.workers {
+		if n := w.running(jobs); n > runs {
+			most, runs = w, n
+		}
+	}
+	return most, runs > 0
+}
+
+// finish ends the disruption of a worker after lateFor and waits until all clients have their
+// answers.
+func (s *system) finish(w *worker, withTrouble bool) error {
+	time.Sleep(lateFor)
+	w.setTrouble(trouble{})
+	s.rec.note("%s is sound again", w.name)
+	s.clients.wait.Wait()
+	orders, failed := 0, 0
+	for _, other := range s.workers {
+		n, f := other.ordersSoFar()
+		orders, failed = orders+n, failed+f
+		s.rec.note("%s", other)
+	}
+	s.rec.note("%d of %d starts and stops were not answered", failed, orders)
+	if withTrouble && failed == 0 {
+		return errNotReached
+	}
+	return nil
+}
