--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -25,15 +25,22 @@
 	cpu      int
 	work     time.Duration
 	deadline time.Duration
+	requires string // label that the worker must have; empty means any
 }
 
 // Kinds of jobs, after the sheet of the users' site.
 var (
-	posfix  = jobKind{"posfix", 8, 1600, 60 * time.Millisecond, 1500 * time.Millisecond}
-	sealchk = jobKind{"sealchk", 4, 1600, 900 * time.Millisecond, 4500 * time.Millisecond}
-	holdq   = jobKind{"holdq", 2, 1600, 200 * time.Millisecond, 1500 * time.Millisecond}
+	posfix  = jobKind{"posfix", 8, 1600, 60 * time.Millisecond, 1500 * time.Millisecond, ""}
+	sealchk = jobKind{"sealchk", 4, 1600, 900 * time.Millisecond, 4500 * time.Millisecond, ""}
+	holdq   = jobKind{"holdq", 2, 1600, 200 * time.Millisecond, 1500 * time.Millisecond, ""}
 )
 
+// requiring returns the kind of job with a label that the worker must have.
+func (k jobKind) requiring(label string) jobKind {
+	k.requires = label
+	return k
+}
+
 // clients sends jobs to the entries.
 type clients struct {
 	rec     *record
@@ -65,8 +72,12 @@
 
 // send sends a job once, on a connection of its own. It reports whether the job is to be sent again.
 func (c *clients) send(kind jobKind, id string, e *process) bool {
-	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`,
-		kind.work.String(), kind.tasks, kind.cpu, kind.work.Milliseconds())
+	requires := ""
+	if kind.requires != "" {
+		requires = fmt.Sprintf(`,"requires":%q`, kind.requires)
+	}
+	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d%s}]}`,
+		kind.work.String(), kind.tasks, kind.cpu, kind.work.Milliseconds(), requires)
 	ctx, cancel := context.WithTimeout(context.Background(), kind.deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+prefixOf(kind.name)+id,
--- a/review/rig2/late_orders.go
+++ b/review/rig2/late_orders.go
@@ -16,10 +16,10 @@
 
 // longCheck is a seal check of the longest work that the users' site names. Its client waits for
 // three times its objective, 1.6 times its work and 60 ms.
-var longCheck = jobKind{"sealchk", 1, 1600, 3600 * time.Millisecond, 17460 * time.Millisecond}
+var longCheck = jobKind{"sealchk", 1, 1600, 3600 * time.Millisecond, 17460 * time.Millisecond, "a"}
 
 // shortCheck is a seal check whose client waits for the time of the users' sheet.
-var shortCheck = jobKind{"sealchk", 1, 1600, 900 * time.Millisecond, 1500 * time.Millisecond}
+var shortCheck = jobKind{"sealchk", 1, 1600, 900 * time.Millisecond, 1500 * time.Millisecond, "a"}
 
 // hungWorker plays a worker that hangs for lateFor while tasks run on it: they stand still, and
 // starts and stops are not answered and are carried out late.
@@ -56,10 +56,10 @@
 	return s.finish(slow, withTrouble)
 }
 
-// background submits short jobs at all entries for the given time.
+// background submits short jobs at all entries for the given time, to workers of kind b.
 func (s *system) background(d time.Duration) {
-	s.clients.traffic(posfix, 1, d)
-	s.clients.traffic(holdq, 4, d)
+	s.clients.traffic(posfix.requiring("b"), 4, d)
+	s.clients.traffic(holdq.requiring("b"), 20, d)
 }
 
 // submitLong submits longJobs jobs at the first entry. It returns the worker with the most of their
@@ -82,19 +82,27 @@
 // finish ends the disruption of a worker after lateFor and waits until all clients have their
 // answers.
 func (s *system) finish(w *worker, withTrouble bool) error {
+	before, _ := s.ordersSoFar()
 	time.Sleep(lateFor)
 	w.setTrouble(trouble{})
 	s.rec.note("%s is sound again", w.name)
+	orders, failed := s.ordersSoFar()
 	s.clients.wait.Wait()
-	orders, failed := 0, 0
 	for _, other := range s.workers {
-		n, f := other.ordersSoFar()
-		orders, failed = orders+n, failed+f
 		s.rec.note("%s", other)
 	}
-	s.rec.note("%d of %d starts and stops were not answered", failed, orders)
+	s.rec.note("during the disruption %d of %d starts and stops were not answered", failed, orders-before)
 	if withTrouble && failed == 0 {
 		return errNotReached
 	}
 	return nil
 }
+
+// ordersSoFar returns how many starts and stops arrived at all workers, and how many of them failed.
+func (s *system) ordersSoFar() (orders, failed int) {
+	for _, w := range s.workers {
+		n, f := w.ordersSoFar()
+		orders, failed = orders+n, failed+f
+	}
+	return orders, failed
+}
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -30,6 +30,9 @@
 	workers int
 }{{"mtm", 4}, {"sulph", 4}, {"tepuke", 3}}
 
+// workerKinds are the kinds of the workers, in turn.
+var workerKinds = []string{"a", "a", "b"}
+
 // readyTimeout bounds the start of the system.
 const readyTimeout = 20 * time.Second
 
@@ -135,7 +138,8 @@
 
 // startSide starts a worker and the agent beside it.
 func (s *system) startSide(program, hall string, number int, storeAddr string) error {
-	w, err := startWorker(s.rec, fmt.Sprintf("worker-%s-%d", hall, number), hall, "r-"+hall)
+	w, err := startWorker(s.rec, fmt.Sprintf("worker-%s-%d", hall, number), hall,
+		[]string{workerKinds[len(s.workers)%len(workerKinds)], "r-" + hall})
 	if err != nil {
 		return err
 	}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -26,12 +26,13 @@
 
 // worker is a stand-in for one life of a worker. The spec of a task is its duration.
 type worker struct {
-	name, id, hall, rack string
-	rec                  *record
-	began                time.Time
-	listener             net.Listener
-	server               *http.Server
-	stopped              chan struct{}
+	name, id, hall string
+	labels         []string // its kind and its rack
+	rec            *record
+	began          time.Time
+	listener       net.Listener
+	server         *http.Server
+	stopped        chan struct{}
 
 	mu       sync.Mutex
 	trouble  trouble
@@ -74,12 +75,12 @@
 }
 
 // startWorker starts a worker that listens on a free loopback port.
-func startWorker(rec *record, name, hall, rack string) (*worker, error) {
+func startWorker(rec *record, name, hall string, labels []string) (*worker, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{name: name, id: "i-" + name, hall: hall, rack: rack, rec: rec, began: time.Now().Add(-time.Second),
+	w := &worker{name: name, id: "i-" + name, hall: hall, labels: labels, rec: rec, began: time.Now().Add(-time.Second),
 		listener: l, stopped: make(chan struct{}), runs: make(map[string]*workerRun), highest: make(map[string]int),
 		changed: make(chan struct{})}
 	mux := http.NewServeMux()
@@ -116,7 +117,7 @@
 		w.mu.Lock()
 		body, err := json.Marshal(map[string]any{"service": service, "address": w.addr(), "zone": w.hall, "version": "v1",
 			"slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": seq, "clock_ms": w.clock().Milliseconds(),
-			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", w.rack}})
+			"capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemoryMB, "gpu": 0}, "labels": w.labels})
 		w.mu.Unlock()
 		pause := heartbeatInterval
 		if err == nil {
