--- a/review/rig2/late_orders.go
+++ b/review/rig2/late_orders.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// Both cases of this file have one worker that leaves starts and stops unanswered and carries them
-// out late, while it goes on to answer holds.
-
 const (
 	lateFor    = 5500 * time.Millisecond
 	watchedFor = 9 * time.Second // from the disruption to the end of the traffic
@@ -18,25 +15,6 @@
 // three times its objective, 1.6 times its work and 60 ms.
 var longCheck = jobKind{"sealchk", 1, 1600, 3600 * time.Millisecond, 17460 * time.Millisecond, "a"}
 
-// shortCheck is a seal check whose client waits for the time of the users' sheet.
-var shortCheck = jobKind{"sealchk", 1, 1600, 900 * time.Millisecond, 1500 * time.Millisecond, "a"}
-
-// hungWorker plays a worker that hangs for lateFor while tasks run on it: they stand still, and
-// starts and stops are not answered and are carried out late.
-func hungWorker(s *system, withTrouble bool) error {
-	s.background(calm + watchedFor)
-	time.Sleep(calm)
-	hung, found := s.submitLong(shortCheck)
-	if !found {
-		return errNotReached
-	}
-	if withTrouble {
-		s.rec.note("%s hangs from now on: its tasks stand still, it leaves starts and stops unanswered", hung.name)
-		hung.setTrouble(trouble{late: true, still: true})
-	}
-	return s.finish(hung, withTrouble)
-}
-
 // lateStops plays a worker that leaves starts and stops unanswered for lateFor and carries them out
 // late, and the kill of the entry that has ordered runs there.
 func lateStops(s *system, withTrouble bool) error {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -36,7 +36,6 @@
 // cases are the scripted cases by name.
 var cases = map[string]func(*system, bool) error{
 	"busy-starts": busyStarts,
-	"hung-worker": hungWorker,
 	"late-stops":  lateStops,
 }
 
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -56,8 +56,6 @@
 	// late makes the worker leave starts and stops unanswered; it carries them out minLate to
 	// maxLate later. Holds are answered as usual.
 	late bool
-	// still makes the tasks that run stand still: they end only by a stop or with the lease.
-	still bool
 }
 
 // Bounds of the delay of late orders, as the users' bench gives them for applied_late.
@@ -272,9 +270,7 @@
 	run.timer = time.AfterFunc(duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !w.trouble.still {
-			w.end(run, how)
-		}
+		w.end(run, how)
 	})
 	w.runs[c.Task] = run
 }
