supervisor: log which try of a start an answer belongs to

The lines start-unanswered and start-rejected held only the number of tries, so that a log didn't show whether the rejected call was the last one sent, or whether another one had no answer yet. Calls carry the number of the try; both lines have "try" and "open", the tries that were not rejected.

--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -25,6 +25,7 @@
 type StartCall struct {
 	Incarnation Incarnation // addressee
 	Order       task.Order
+	Try         int           // number of this call among the starts of the run, from 1
 	Deadline    time.Duration // end of the lease, on the target's clock
 	Token       uint64        // fencing token
 }
--- a/supervisor/log.go
+++ b/supervisor/log.go
@@ -162,22 +162,28 @@
 		event.Milliseconds("echo_age_ms", now-c.leaseStart))
 }
 
-// logStartUnanswered logs a start without an answer.
-func (s *Supervisor) logStartUnanswered(r *run, reply Reply) {
+// logStartUnanswered logs a try of a start without an answer.
+func (s *Supervisor) logStartUnanswered(r *run, try int, reply Reply) {
+	open, _ := r.tries.open()
 	s.log(event.StartUnanswered,
 		slog.String("task", r.name),
 		slog.Int("run", r.order.Run),
-		slog.Int("tries", r.tries),
+		slog.Int("try", try),
+		slog.Int("tries", len(r.tries)),
+		slog.Int("open", open),
 		reply.cause())
 }
 
-// logStartRejected logs that the target rejected a start.
-func (s *Supervisor) logStartRejected(r *run, reply Reply) {
+// logStartRejected logs that the target rejected a try of a start.
+func (s *Supervisor) logStartRejected(r *run, try int, reply Reply) {
+	open, _ := r.tries.open()
 	s.log(event.StartRejectedByTarget,
 		slog.String("task", r.name),
 		slog.Int("run", r.order.Run),
 		slog.String("why", reply.Outcome.Code().String()),
-		slog.Int("tries", r.tries))
+		slog.Int("try", try),
+		slog.Int("tries", len(r.tries)),
+		slog.Int("open", open))
 }
 
 // logStopping logs the reason for stopping a run.
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -48,11 +48,8 @@
 	// once.
 	specDeadline time.Duration
 
-	// deadline is that of the last start sent, on the target's clock; after it no copy of
-	// the call can start the run.
-	deadline time.Duration
-	tries    int           // starts sent
-	sentAt   time.Duration // send time of the last start or stop
+	tries  startTries
+	sentAt time.Duration // send time of the last start or stop
 	// cannotStart is set once no call can start the run any more. From then on, the absence of
 	// the run from lists requested at or after cannotStartSince proves that it does not exist.
 	cannotStart      bool
@@ -149,11 +146,11 @@
 	if r.cannotStart {
 		return
 	}
-	if s.lease.clock.known && s.lease.clock.atLeast(now) > r.deadline {
+	if s.lease.clock.known && s.lease.clock.atLeast(now) > r.tries[len(r.tries)-1].deadline {
 		r.markCannotStart(now)
 		return
 	}
-	if !r.started && now-r.sentAt >= StartRetry && r.tries < maxStartTries {
+	if !r.started && now-r.sentAt >= StartRetry && len(r.tries) < maxStartTries {
 		s.sendStart(now, r)
 	}
 }
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -10,10 +10,12 @@
 
 // sendStart sends a start of r to the target.
 func (s *Supervisor) sendStart(now time.Duration, r *run) {
-	r.tries++
 	r.sentAt = now
-	r.deadline = s.lease.grant(now, s.Rules.TargetLease)
-	s.Start(StartCall{Incarnation: s.target.incarnation(), Order: r.order, Deadline: r.deadline, Token: s.target.token})
+	deadline := s.lease.grant(now, s.Rules.TargetLease)
+	r.tries = append(r.tries, startTry{deadline: deadline})
+	s.Start(StartCall{
+		Incarnation: s.target.incarnation(), Order: r.order, Try: len(r.tries), Deadline: deadline, Token: s.target.token,
+	})
 }
 
 // StartAnswered handles the result of a start call. An unanswered start is sent again by
@@ -35,29 +37,30 @@
 		r.markCannotStart(now)
 	case NoAnswer:
 		s.recordTimeout(now)
-		s.logStartUnanswered(r, reply)
+		s.logStartUnanswered(r, c.Try, reply)
 		if !s.Rules.KeepUnansweredStarts {
 			s.finish(now, r, task.EndRejected, code.RunAbsent)
 		}
 	case WrongIncarnation:
 		s.wrongIncarnation(now, "start")
 	default:
-		s.startRejected(now, r, reply)
+		s.startRejected(now, r, c.Try, reply)
 	}
 }
 
 // startRejected ends r if no earlier try can have started it. Otherwise the target's next
 // lists decide.
-func (s *Supervisor) startRejected(now time.Duration, r *run, reply Reply) {
+func (s *Supervisor) startRejected(now time.Duration, r *run, try int, reply Reply) {
 	outcome := reply.Outcome
-	s.logStartRejected(r, reply)
+	r.tries.reject(try)
+	s.logStartRejected(r, try, reply)
 	if outcome == RejectedUnhealthy && s.health.recordRejection(now, r.order.Task.Job) {
 		s.healthChanged(now)
 	}
 	if outcome == RejectedToken {
 		s.renewToken(now)
 	}
-	if r.tries > 1 {
+	if len(r.tries) > 1 {
 		r.markCannotStart(now)
 		return
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -30,6 +30,7 @@
 //	session.go      connections of entries, each with its own lease
 //	run.go          the life of a run, from its order until its end is certain
 //	starting.go     start calls and their answers
+//	tries.go        the start calls of one run
 //	stopping.go     stop calls and their answers
 //	spec.go         specs that an order omits
 //	reservation.go  resource accounting: resources in use, and reservations of sessions
