supervisor: a rejected start says nothing about the other tries

An overloaded target took 200 ms for a start and shed the repetition with 503.

Cause: startRejected took the rejection of a repetition for the end of all calls of the run. The next list, up to 30 ms later, did not contain the run yet, so that it was reported as rejected and its room was free, while the first call was still being handled.

Evidence: with the try in the log, each run that was given up has start-rejected with try 2, tries 2, open 1, and run-ended with 710 run-absent up to 38 ms later.

Fix: each run keeps its start calls; a rejection closes one of them. The run ends at once when all are rejected, and can no longer start when the open ones are past their deadline or a stop was accepted. What the target says of one call, busy, late, fenced or full, it says of that call. The one exception is by the platform's own rule: a run whose number is not above one that was stopped or has ended is rejected, whichever call brings it; the next list then decides.

--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -83,7 +83,7 @@
 	// token.
 	RejectedToken
 	// RejectedStaleRun means that the start was rejected: the target has stopped or ended a run
-	// with this number or a higher one.
+	// with this number or a higher one. It rejects all later starts of the run, too.
 	RejectedStaleRun
 	// RejectedDeadline means that the call was rejected because it arrived after its deadline.
 	RejectedDeadline
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -143,15 +143,16 @@
 		}
 		return
 	}
-	if r.cannotStart {
-		return
+	s.checkStartDeadlines(now, r)
+	if !r.cannotStart && now-r.sentAt >= StartRetry && len(r.tries) < maxStartTries {
+		s.sendStart(now, r)
 	}
-	if s.lease.clock.known && s.lease.clock.atLeast(now) > r.tries[len(r.tries)-1].deadline {
+}
+
+// checkStartDeadlines marks r as unable to start if the deadlines of all open starts have passed.
+func (s *Supervisor) checkStartDeadlines(now time.Duration, r *run) {
+	if _, deadline := r.tries.open(); s.lease.clock.known && s.lease.clock.atLeast(now) > deadline {
 		r.markCannotStart(now)
-		return
-	}
-	if !r.started && now-r.sentAt >= StartRetry && len(r.tries) < maxStartTries {
-		s.sendStart(now, r)
 	}
 }
 
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -18,8 +18,9 @@
 	})
 }
 
-// StartAnswered handles the result of a start call. An unanswered start is sent again by
-// checkRun, up to maxStartTries times in all.
+// StartAnswered handles the result of a start call. A rejection concerns this call alone: the run
+// ends once all of its starts are rejected. An unanswered start is sent again by checkRun, up to
+// maxStartTries times in all.
 func (s *Supervisor) StartAnswered(now time.Duration, c StartCall, reply Reply) {
 	defer s.flush(now)
 	s.recordReply(now, c.Incarnation, reply)
@@ -29,12 +30,7 @@
 	}
 	switch reply.Outcome {
 	case Accepted:
-		if !r.started {
-			r.started = true
-			s.ObserveStage.Observe(stage.Starting, now-r.startedAt)
-			r.startedAt = now
-		}
-		r.markCannotStart(now)
+		s.startAccepted(now, r)
 	case NoAnswer:
 		s.recordTimeout(now)
 		s.logStartUnanswered(r, c.Try, reply)
@@ -48,8 +44,18 @@
 	}
 }
 
-// startRejected ends r if no earlier try can have started it. Otherwise the target's next
-// lists decide.
+// startAccepted records that r has started.
+func (s *Supervisor) startAccepted(now time.Duration, r *run) {
+	if !r.started {
+		r.started = true
+		s.ObserveStage.Observe(stage.Starting, now-r.startedAt)
+		r.startedAt = now
+	}
+	r.markCannotStart(now)
+}
+
+// startRejected records the rejection of a try, and ends r if none of its tries can start it any
+// more. While others are open, their answers, the target's lists or their deadlines decide.
 func (s *Supervisor) startRejected(now time.Duration, r *run, try int, reply Reply) {
 	outcome := reply.Outcome
 	r.tries.reject(try)
@@ -60,9 +66,12 @@
 	if outcome == RejectedToken {
 		s.renewToken(now)
 	}
-	if len(r.tries) > 1 {
+	open, _ := r.tries.open()
+	switch {
+	case r.started: // the lists decide
+	case open == 0:
+		s.finish(now, r, task.EndRejected, outcome.Code())
+	case outcome == RejectedStaleRun || !s.Rules.AwaitOpenStarts:
 		r.markCannotStart(now)
-		return
 	}
-	s.finish(now, r, task.EndRejected, outcome.Code())
 }
--- /dev/null
+++ b/supervisor/starting_test.go
@@ -0,0 +1,124 @@
+package supervisor
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/task"
+)
+
+// rejections are the outcomes by which a target rejects one call of a start. RejectedStaleRun rejects
+// the run.
+var rejections = []Outcome{
+	RejectedToken, RejectedDeadline, RejectedCapacity, RejectedUnhealthy, RejectedMalformed,
+}
+
+// sendTries orders a run that takes the whole target and waits until its start was sent the given
+// number of times.
+func (b *harness) sendTries(t *testing.T, tries int) {
+	t.Helper()
+	b.sendOrders(order(0, 4000))
+	for len(b.starts) < tries {
+		b.advance(StartRetry)
+	}
+	assert.Equal(t, len(b.starts), tries)
+}
+
+// list applies an empty list.
+func (b *harness) list() {
+	b.answerRenewal(nil, nil)
+	b.Tick(b.now)
+}
+
+// assertKept checks that the run of sendTries is neither reported as ended nor its room free.
+func (b *harness) assertKept(t *testing.T, when string) {
+	t.Helper()
+	assert.Equal(t, len(b.sentEnds()), 0, "%s: reported as ended: %+v", when, b.sentEnds())
+	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 0, "%s: room is free", when)
+}
+
+// TestRejectedTryKeepsRunWhileAnotherIsOpen guards against two runs of a task (review/4): a target
+// that was still handling one start call rejected another one, and the task was started elsewhere.
+func TestRejectedTryKeepsRunWhileAnotherIsOpen(t *testing.T) {
+	for _, outcome := range rejections {
+		for rejected := range 3 {
+			t.Run(fmt.Sprintf("%s of try %d", outcome.Code(), rejected+1), func(t *testing.T) {
+				b := newHarness(t)
+				b.sendTries(t, 3)
+				b.StartAnswered(b.now, b.starts[rejected], b.reply(outcome))
+				for range 4 {
+					b.list()
+					b.assertKept(t, "two tries are open")
+					b.now += 10 * ms
+				}
+				started := b.starts[(rejected+1)%3]
+				b.StartAnswered(b.now, started, b.reply(Accepted))
+				running := []ListedRun{{Name: order(0, 0).Task.String(), Run: 1}}
+				b.answerRenewal(running, nil)
+				b.assertKept(t, "running")
+				b.StartAnswered(b.now, b.starts[(rejected+2)%3], b.reply(RejectedStaleRun))
+				b.answerRenewal(running, nil)
+				b.assertKept(t, "all tries are answered and the run goes on")
+			})
+		}
+	}
+}
+
+// TestStaleRunRejectionEndsRunAfterNextList guards against a task that waits for the deadline of an
+// unanswered call although the target rejects its run number, and against a run that is reported as
+// rejected before a list shows that it did not start and end.
+func TestStaleRunRejectionEndsRunAfterNextList(t *testing.T) {
+	b := newHarness(t)
+	b.sendTries(t, 2)
+	before, _ := b.NextRenewal(b.now)
+	b.now += ms
+	b.StartAnswered(b.now, b.starts[1], b.reply(RejectedStaleRun))
+	b.RenewalAnswered(b.now, before, b.reply(Accepted), &RunLists{})
+	b.assertKept(t, "the list was requested before the rejection")
+	b.list()
+	assert.Equal(t, len(b.sentEnds()), 1)
+	assert.Equal(t, b.sentEnds()[0].Reason, code.RunAbsent)
+	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 4000)
+}
+
+// TestRunEndsOnceAllTriesAreRejected guards against a task that waits for the deadline of its start
+// although the target has answered that none of the calls has done anything.
+func TestRunEndsOnceAllTriesAreRejected(t *testing.T) {
+	for _, sequence := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2}} {
+		b := newHarness(t)
+		b.sendTries(t, 3)
+		for k, try := range sequence {
+			b.assertKept(t, fmt.Sprintf("%d of 3 tries are rejected", k))
+			b.StartAnswered(b.now, b.starts[try], b.reply(RejectedUnhealthy))
+		}
+		assert.Equal(t, len(b.sentEnds()), 1)
+		assert.Equal(t, b.sentEnds()[0].End, task.EndRejected)
+		assert.Equal(t, b.sentEnds()[0].Reason, code.RunTargetUnhealthy)
+		assert.Equal(t, b.freeRoom(b.now, nil).CPU, 4000)
+	}
+}
+
+// TestUnansweredTryKeepsRunUntilItsDeadline guards against a second run of a task: the first call
+// has no answer, the last one was rejected, and the first is carried out just before its deadline.
+func TestUnansweredTryKeepsRunUntilItsDeadline(t *testing.T) {
+	b := newHarness(t)
+	b.sendTries(t, 2)
+	b.StartAnswered(b.now, b.starts[1], b.reply(RejectedUnhealthy))
+	b.StartAnswered(b.now, b.starts[0], Reply{Outcome: NoAnswer})
+	for b.targetClock() <= b.starts[0].Deadline {
+		for _, c := range b.starts[2:] {
+			b.StartAnswered(b.now, c, b.reply(RejectedUnhealthy))
+		}
+		b.starts = b.starts[:2]
+		b.advance(10 * ms)
+		b.list()
+		b.assertKept(t, "before the deadline")
+	}
+	b.advance(40 * ms) // the clock may be 2% slow
+	b.list()
+	assert.Equal(t, b.sentEnds()[0].Reason, code.RunAbsent)
+	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 4000)
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -78,6 +78,9 @@
 	// KeepUnansweredStarts keeps the resources and the task of an unanswered start until it is
 	// certain that the start can no longer take effect.
 	KeepUnansweredStarts bool
+	// AwaitOpenStarts keeps a run while one of its starts may still take effect, although another
+	// one was rejected.
+	AwaitOpenStarts bool
 	// StopUnknownRuns stops runs that this agent did not order.
 	StopUnknownRuns bool
 	// RefuseEvacuated rejects all starts on a target whose data hall is evacuated.
@@ -92,6 +95,7 @@
 		AwaitCleared:         true,
 		FencingTokens:        true,
 		KeepUnansweredStarts: true,
+		AwaitOpenStarts:      true,
 		StopUnknownRuns:      true,
 
 		RefuseEvacuated: true,
