supervisor: a run is kept until the latest deadline of its starts

What callers may have seen: a second run of a task whose start had no answer. By reading; no case has shown it with processes.

Cause: a run without an answer was given up at the deadline of its last start call. The agent derives deadlines from a lower bound of the target's clock, which falls when a delayed answer brings an old reading, so that an earlier call may have the later deadline.

Evidence: TestEarlierTryMayHaveTheLaterDeadline failed before: with a renewal answered four tries late, the run was reported as absent while the fourth call was still valid for 30 ms or more.

Fix: the latest deadline of the open calls counts.

--- a/supervisor/starting_test.go
+++ b/supervisor/starting_test.go
@@ -122,3 +122,25 @@
 	assert.Equal(t, b.sentEnds()[0].Reason, code.RunAbsent)
 	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 4000)
 }
+
+// TestEarlierTryMayHaveTheLaterDeadline guards against a run that is given up at the deadline of
+// its last start call: the reading of the target's clock in a delayed answer is low, and with it the
+// deadline of the next call.
+func TestEarlierTryMayHaveTheLaterDeadline(t *testing.T) {
+	b := newHarness(t)
+	b.answerRenewal(nil, nil)
+	delayed := b.reply(Accepted)
+	delayed.Clock += ms
+	c, _ := b.NextRenewal(b.now)
+	b.sendTries(t, maxStartTries-1)
+	b.RenewalAnswered(b.now, c, delayed, &RunLists{})
+	b.advance(StartRetry)
+	assert.Equal(t, len(b.starts), maxStartTries)
+	last, before := b.starts[maxStartTries-1].Deadline, b.starts[maxStartTries-2].Deadline
+	assert.Assert(t, last < before-30*ms)
+	for b.targetClock() < before-10*ms {
+		b.advance(10 * ms)
+		b.list()
+		b.assertKept(t, "before the deadline of an earlier call")
+	}
+}
--- a/supervisor/tries.go
+++ b/supervisor/tries.go
@@ -18,12 +18,12 @@
 	t[try-1].rejected = true
 }
 
-// open returns the number of tries that were not rejected, and the deadline of the last of them.
+// open returns the number of tries that were not rejected, and the latest of their deadlines.
 func (t startTries) open() (count int, deadline time.Duration) {
 	for _, s := range t {
 		if !s.rejected {
 			count++
-			deadline = s.deadline
+			deadline = max(deadline, s.deadline)
 		}
 	}
 	return count, deadline
