supervisor: an answer to a start belongs to the run it was sent for

What callers may have seen: a task reported as rejected, or as lost, while its start was still on its way. By reading; no case has shown it with processes.

Cause: StartAnswered found the run by task and run number. Numbers start at 1 at each entry, and a call may be answered 300 ms after it was sent, when its run has ended and another entry has ordered the task with the same number.

Evidence: TestAnswerToEarlierRunWithSameNumber failed before: a delayed acceptance marked the new run as started.

Fix: a start call holds the run it was sent for; answers for another run are ignored.

--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -28,6 +28,7 @@
 	Try         int           // number of this call among the starts of the run, from 1
 	Deadline    time.Duration // end of the lease, on the target's clock
 	Token       uint64        // fencing token
+	run         *run          // distinguishes runs with the same task and number
 }
 
 // StopCall orders the target to stop a run.
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -15,6 +15,7 @@
 	r.tries = append(r.tries, startTry{deadline: deadline})
 	s.Start(StartCall{
 		Incarnation: s.target.incarnation(), Order: r.order, Try: len(r.tries), Deadline: deadline, Token: s.target.token,
+		run: r,
 	})
 }
 
@@ -24,8 +25,8 @@
 func (s *Supervisor) StartAnswered(now time.Duration, c StartCall, reply Reply) {
 	defer s.flush(now)
 	s.recordReply(now, c.Incarnation, reply)
-	r := s.runs[c.Order.Task.String()]
-	if r == nil || !c.Incarnation.is(s.target.incarnation()) || r.order.Run != c.Order.Run {
+	r := c.run
+	if s.runs[r.name] != r || !c.Incarnation.is(s.target.incarnation()) {
 		return
 	}
 	switch reply.Outcome {
--- a/supervisor/starting_test.go
+++ b/supervisor/starting_test.go
@@ -144,3 +144,21 @@
 		b.assertKept(t, "before the deadline of an earlier call")
 	}
 }
+
+// TestAnswerToEarlierRunWithSameNumber guards against a delayed answer to a start call of an earlier
+// order of the same task and run number that is taken for an answer to the present one.
+func TestAnswerToEarlierRunWithSameNumber(t *testing.T) {
+	for _, outcome := range append([]Outcome{Accepted}, rejections...) {
+		b := newHarness(t)
+		b.sendTries(t, 2)
+		b.StartAnswered(b.now, b.starts[1], b.reply(Accepted))
+		b.answerRenewal(nil, []ListedEnd{{N: 1, Name: order(0, 0).Task.String(), Run: 1, End: task.EndStopped}})
+		assert.Equal(t, len(b.runs), 0)
+		b.sendOrders(order(0, 4000))
+		b.StartAnswered(b.now, b.starts[0], b.reply(outcome))
+		r := b.runs[order(0, 0).Task.String()]
+		assert.Assert(t, r != nil && !r.started && !r.cannotStart, "%s of the earlier order", outcome.Code())
+		open, _ := r.tries.open()
+		assert.Equal(t, open, 1)
+	}
+}
