supervisor: the deadline of a start also counts while the run is stopped

What callers may have seen: a task that waits although no target runs it. Its start had no answer, it was to be stopped, and its overloaded target rejected the stops with 503.

Cause: checkRun checked the deadline of the start only for runs that were not being stopped.

Evidence: TestStopRejectedByBusyTargetEndsAbsentRun failed before: the run was kept for 2 s, its deadline being 0.8 s after its start, though no list contained it.

Fix: the deadline is checked for every run; after it, a list without the run ends it. Runs that have started are stopped until their end is listed, as before.

--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -137,13 +137,13 @@
 	if s.checkSpec(now, r) {
 		return
 	}
+	s.checkStartDeadlines(now, r)
 	if r.stopping {
 		if now-r.sentAt >= stopRetry {
 			s.sendStop(now, r)
 		}
 		return
 	}
-	s.checkStartDeadlines(now, r)
 	if !r.cannotStart && now-r.sentAt >= StartRetry && len(r.tries) < maxStartTries {
 		s.sendStart(now, r)
 	}
--- a/supervisor/starting_test.go
+++ b/supervisor/starting_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/beaconpoint/beaconpoint/code"
+	"github.com/beaconpoint/beaconpoint/peer"
 	"github.com/beaconpoint/beaconpoint/task"
 )
 
@@ -162,3 +164,25 @@
 		assert.Equal(t, open, 1)
 	}
 }
+
+// TestStopRejectedByBusyTargetEndsAbsentRun guards against a run that is kept forever: its start had no
+// answer and its stops are rejected, and the lists after the deadline don't contain it.
+func TestStopRejectedByBusyTargetEndsAbsentRun(t *testing.T) {
+	b := newHarness(t)
+	b.sendTries(t, 1)
+	b.StartAnswered(b.now, b.starts[0], Reply{Outcome: NoAnswer})
+	b.Receive(b.now, 1, &peer.Frame{Echo: b.now, Stops: []task.Ref{{Task: order(0, 0).Task, Run: 1}}})
+	for end := b.now + 2*time.Second; b.now < end; {
+		for _, c := range b.stops {
+			b.StopAnswered(b.now, c, b.reply(RejectedUnhealthy))
+		}
+		b.stops = nil
+		if b.targetClock() < b.starts[0].Deadline {
+			b.assertKept(t, "before the deadline")
+		}
+		b.advance(50 * ms)
+		b.list()
+	}
+	assert.Equal(t, len(b.runs), 0)
+	assert.Equal(t, b.sentEnds()[0].End, task.EndRejected)
+}
