platform: an undefined status does not reject a start

What callers may have seen: a task that runs on two targets at once.

Cause: outcomeOf mapped every status that it did not know, 500 and 502 too, to RejectedMalformed, and so to a start that did nothing. The platform defines 200, 400, 409, 421, 429 and 503.

Fix: the outcome Undefined. The try stays open, as one without an answer; the target counts as answering, and the line start-unanswered has the status. A 409 with another reason stays a rejection, since the platform answers 409 only to calls that it rejects.

--- a/supervisor/call.go
+++ b/supervisor/call.go
@@ -97,6 +97,9 @@
 	RejectedMalformed
 	// WrongIncarnation means that another incarnation of the target answered.
 	WrongIncarnation
+	// Undefined means that the target's answer has no defined meaning: as with NoAnswer, the
+	// call may have been carried out, or still may be.
+	Undefined
 )
 
 // outcomeCodes maps each outcome to its code. For a start that was not accepted, the code is
@@ -111,6 +114,7 @@
 	RejectedUnhealthy: code.RunTargetUnhealthy,
 	RejectedMalformed: code.RunBadCall,
 	WrongIncarnation:  code.RunTargetGone,
+	Undefined:         code.RunAbsent,
 }
 
 // Code returns the code of the outcome, or RunBadCall if it has none.
@@ -126,7 +130,7 @@
 	Outcome  Outcome
 	Clock    time.Duration // reading of the target's clock, valid if HasClock
 	HasClock bool
-	// Err is the error behind NoAnswer, for logs; nil for all other outcomes.
+	// Err is the error behind NoAnswer or Undefined, for logs; nil for all other outcomes.
 	Err error
 }
 
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -34,10 +34,9 @@
 		s.startAccepted(now, r)
 	case NoAnswer:
 		s.recordTimeout(now)
-		s.logStartUnanswered(r, c.Try, reply)
-		if !s.Rules.KeepUnansweredStarts {
-			s.finish(now, r, task.EndRejected, code.RunAbsent)
-		}
+		s.startUnanswered(now, r, c.Try, reply)
+	case Undefined:
+		s.startUnanswered(now, r, c.Try, reply)
 	case WrongIncarnation:
 		s.wrongIncarnation(now, "start")
 	default:
@@ -55,6 +54,14 @@
 	r.markCannotStart(now)
 }
 
+// startUnanswered handles a try that may or may not start r.
+func (s *Supervisor) startUnanswered(now time.Duration, r *run, try int, reply Reply) {
+	s.logStartUnanswered(r, try, reply)
+	if !s.Rules.KeepUnansweredStarts {
+		s.finish(now, r, task.EndRejected, code.RunAbsent)
+	}
+}
+
 // startRejected records the rejection of a try, and ends r if none of its tries can start it any
 // more. While others are open, their answers, the target's lists or their deadlines decide.
 func (s *Supervisor) startRejected(now time.Duration, r *run, try int, reply Reply) {
--- a/supervisor/starting_test.go
+++ b/supervisor/starting_test.go
@@ -125,6 +125,24 @@
 	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 4000)
 }
 
+// TestUndefinedAnswerKeepsRun guards against a second run of a task whose start was answered with an
+// undefined status, such as 500 or 502, and carried out.
+func TestUndefinedAnswerKeepsRun(t *testing.T) {
+	b := newHarness(t)
+	b.sendTries(t, 1)
+	b.StartAnswered(b.now, b.starts[0], b.reply(Undefined))
+	b.list()
+	b.assertKept(t, "the only try has an undefined answer")
+	b.advance(StartRetry)
+	assert.Equal(t, len(b.starts), 2)
+	b.StartAnswered(b.now, b.starts[1], b.reply(RejectedUnhealthy))
+	b.list()
+	b.assertKept(t, "the second try is rejected")
+	b.advance(TargetLease + 100*ms)
+	b.list()
+	assert.Equal(t, len(b.runs), 0)
+}
+
 // TestEarlierTryMayHaveTheLaterDeadline guards against a run that is given up at the deadline of
 // its last start call: the reading of the target's clock in a delayed answer is low, and with it the
 // deadline of the next call.
