testutil/fleet: targets that handle one start at a time and reject the others

With the fault OverloadTarget a target takes up to 0.6 s for a start and rejects the starts that arrive meanwhile (503 or no room).

TestOverloadedTargetsKeepInvariants: 160 histories beside lost and delayed calls and restarts.

--- a/testutil/fleet/fault.go
+++ b/testutil/fleet/fault.go
@@ -40,6 +40,8 @@
 	ShrinkCapacity
 	// Partition disconnects a hall and its entries from the others. Callers reach both sides.
 	Partition
+	// OverloadTarget makes a target handle one start at a time and reject the others.
+	OverloadTarget
 )
 
 // injectFault starts a random fault. Faults with a duration last up to 3.2 s, suspensions
@@ -86,6 +88,8 @@
 		w.delayHeartbeat(a, duration)
 	case SilenceConnections:
 		w.silenceConnections(a, e)
+	case OverloadTarget:
+		w.setBehaviour(a, Behaviour{StartTakes: overloadedStartTime}, duration)
 	case PowerOffHall:
 		w.powerOffHall(a.target.hall)
 	case RestartTarget:
@@ -109,6 +113,10 @@
 // minSuspension is the shortest suspension of a host. It exceeds every lease and ClearTime.
 const minSuspension = 1500 * time.Millisecond
 
+// overloadedStartTime is the longest time that an overloaded target takes for a start: longer than
+// agents wait for the answer.
+const overloadedStartTime = 2 * orderTimeout
+
 // shrinkCapacity reduces a target's capacity for the given duration. The target reports the
 // change in its next heartbeat.
 func (w *World) shrinkCapacity(a *agentProcess, duration time.Duration) {
--- a/testutil/fleet/process.go
+++ b/testutil/fleet/process.go
@@ -248,10 +248,9 @@
 			a.w.after(delay, func() { a.target.start(c) })
 			return
 		}
-		a.target.call(c.Incarnation, orderTimeout, func() supervisor.Reply { return a.target.start(c) },
-			func(r supervisor.Reply) {
-				a.execute(incarnation, func() { s.StartAnswered(a.clock(), c, r); a.scheduleFlush() })
-			})
+		a.target.callStart(c, func(r supervisor.Reply) {
+			a.execute(incarnation, func() { s.StartAnswered(a.clock(), c, r); a.scheduleFlush() })
+		})
 	}
 	s.FetchSpec = func(job, addr string) {
 		a.w.fetchSpec(job, addr, func(spec string, known bool) {
--- a/testutil/fleet/target.go
+++ b/testutil/fleet/target.go
@@ -41,6 +41,9 @@
 	Slow    float64
 	Failing float64
 	Hanging bool
+	// StartTakes is the longest time that the target takes to carry out a start. It handles one
+	// start at a time and rejects those that arrive meanwhile.
+	StartTakes time.Duration
 }
 
 // emulatedTarget emulates a target. It keeps a lease on its own clock, lists running and ended
@@ -71,6 +74,7 @@
 	coldUntil       time.Duration
 	// startDelay, if set, delays starts. Starts are then not answered and stops are dropped.
 	startDelay      time.Duration
+	handlingStart   bool          // see Behaviour.StartTakes
 	pendingRenewals []func() bool // renewals that wait for a run to end
 }
 
@@ -110,6 +114,7 @@
 	t.endCount = 0
 	t.lastFinishedRun = make(map[string]int)
 	t.drainingSince = 0
+	t.handlingStart = false
 	t.pendingRenewals = nil
 }
 
@@ -141,15 +146,7 @@
 	answer func(supervisor.Reply)) {
 	draw := t.w.rng.Float64()
 	noAnswer := supervisor.Reply{Outcome: supervisor.NoAnswer}
-	run := func() supervisor.Reply {
-		if t.id != incarnation.ID {
-			return supervisor.Reply{Outcome: supervisor.WrongIncarnation}
-		}
-		reply := do()
-		reply.Clock = t.clock().Truncate(time.Millisecond)
-		reply.HasClock = true
-		return reply
-	}
+	run := func() supervisor.Reply { return t.carryOut(incarnation, do) }
 	switch {
 	case !t.up:
 		t.w.after(timeout, func() { answer(noAnswer) })
@@ -175,6 +172,55 @@
 	}
 }
 
+// carryOut carries out do if the call is addressed to the current incarnation.
+func (t *emulatedTarget) carryOut(incarnation supervisor.Incarnation, do func() supervisor.Reply) supervisor.Reply {
+	if t.id != incarnation.ID {
+		return supervisor.Reply{Outcome: supervisor.WrongIncarnation}
+	}
+	reply := do()
+	reply.Clock = t.clock().Truncate(time.Millisecond)
+	reply.HasClock = true
+	return reply
+}
+
+// callStart carries out a start as a remote call. An overloaded target takes its time, and
+// rejects the starts that arrive before it has carried out the one that it handles.
+func (t *emulatedTarget) callStart(c supervisor.StartCall, answer func(supervisor.Reply)) {
+	start := func() supervisor.Reply { return t.start(c) }
+	takes := t.behaviour.StartTakes
+	if takes > 0 && t.handlingStart {
+		start = func() supervisor.Reply { return supervisor.Reply{Outcome: t.randomRejection()} }
+	}
+	if takes == 0 || t.handlingStart || !t.up {
+		t.call(c.Incarnation, orderTimeout, start, answer)
+		return
+	}
+	t.handlingStart = true
+	incarnation := t.incarnation
+	takes = t.w.randomUpTo(takes)
+	t.w.after(takes, func() {
+		reply := supervisor.Reply{Outcome: supervisor.NoAnswer}
+		if t.incarnation == incarnation {
+			t.handlingStart = false
+			reply = t.carryOut(c.Incarnation, start)
+		}
+		if takes < orderTimeout {
+			answer(reply)
+		}
+	})
+	if takes >= orderTimeout {
+		t.w.after(orderTimeout, func() { answer(supervisor.Reply{Outcome: supervisor.NoAnswer}) })
+	}
+}
+
+// randomRejection returns an outcome of a start that an overloaded target rejects.
+func (t *emulatedTarget) randomRejection() supervisor.Outcome {
+	if t.w.rng.IntN(2) == 0 {
+		return supervisor.RejectedCapacity
+	}
+	return supervisor.RejectedUnhealthy
+}
+
 // randomLateDelay returns the delay of a late call. Half of the delays are at most a second, so
 // that leases may still be valid.
 func (t *emulatedTarget) randomLateDelay() time.Duration {
--- a/testutil/fleet/world_test.go
+++ b/testutil/fleet/world_test.go
@@ -187,6 +187,10 @@
 		}},
 		{"clear time", func(c *Config) { c.ClearTime = 0 }},
 		{"keeping unanswered starts", func(c *Config) { c.Rules.KeepUnansweredStarts = false }},
+		{"waiting for all tries of a start", func(c *Config) {
+			overloadedTargets(c)
+			c.Rules.AwaitOpenStarts = false
+		}},
 		{"claims", func(c *Config) { c.DuplicateShare, c.Homes = 0.4, 0 }},
 		{"waiting for dropped runs to end", func(c *Config) {
 			c.DuplicateShare, c.SkipDroppedRunWait = 0.9, true
@@ -235,6 +239,18 @@
 	}
 }
 
+// overloadedTargets configures targets that take up to 0.6 s for a start and reject others meanwhile,
+// lost and delayed calls, and restarts of agents and targets.
+func overloadedTargets(c *Config) {
+	c.Kinds, c.Faults = []FaultKind{OverloadTarget, OverloadTarget, LoseAnswers, DelayOrders, KillAgent, CrashTarget}, 16
+}
+
+// TestOverloadedTargetsKeepInvariants guards against a second run of a task, or more runs than a target has
+// room for, if the target rejects one call of a start and still handles another (review/4).
+func TestOverloadedTargetsKeepInvariants(t *testing.T) {
+	playHistories(t, 14000, 160, overloadedTargets)
+}
+
 // targetRestarts configures targets that restart with the same ID, delayed or unanswered
 // starts, and leases of 15 s.
 func targetRestarts(c *Config) {
