claim, owner: the refusal of an earlier submission does not end a job that has started

Cause: a home keeps a refusal until the time to come back has passed. A caller that comes back earlier may reach an entry with other homes, where its job runs; when one of these is lost, the next home answers the claim with the old refusal, and the entry passed it on.

Evidence: TestOldRefusalDoesNotEndStartedJob, TestRefusalIsVoidOnceJobHasStarted and TestOldRefusalOfJobThatMayHaveRun failed before, each with the refusal as the answer.

Fix: a claim tells the home whether tasks have started; such a claim replaces a refusal. The entry ignores a refusal of a job that it has started, which homes of the previous version still send, and gives up a job that may have run in another submission instead of refusing it.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -118,8 +118,8 @@
 }
 
 // Claim handles a claim of an entry, or a cancellation. A claim replaces the record of a job that
-// is unowned, or refused and may be retried; the new record keeps whether the job may have run,
-// and its losses.
+// is unowned, or refused and may be retried or has started at the claiming entry; the new record
+// keeps whether the job may have run, and its losses.
 func (g *Registry) Claim(now time.Duration, from Holder, conn ConnID, c Claim) {
 	r := g.records[c.Job]
 	if c.Cancel {
@@ -127,8 +127,8 @@
 		return
 	}
 	mayHaveRun, losses := false, 0
-	if r != nil && r.claimable(now) {
-		mayHaveRun, losses = r.mayHaveRun, r.losses
+	if r != nil && (r.claimable(now) || c.Begun && r.answer.Outcome == Refused) {
+		mayHaveRun, losses = r.mayHaveRun || c.Begun, r.losses
 		delete(g.records, c.Job)
 		r = nil
 	}
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -483,3 +483,19 @@
 		}
 	})
 }
+
+// TestRefusalIsVoidOnceJobHasStarted guards against a caller that is told "not run" of a job that is
+// running: a home that the running entry asks anew still has the refusal of an earlier submission.
+func TestRefusalIsVoidOnceJobHasStarted(t *testing.T) {
+	g := newHarness()
+	assert.Equal(t, g.claim(a, 1, "j").State, Granted)
+	g.Settle(g.now, a, Settlement{Job: "j", Outcome: Refused, Retry: 5 * time.Second, Clear: true})
+	assert.Equal(t, g.claim(b, 2, "j").Outcome, Refused)
+	g.heard[2] = g.now + time.Hour // alive
+	g.Claim(g.now, b, 2, Claim{Job: "j", MaxDuration: time.Minute, Begun: true})
+	assert.Equal(t, g.lastReply(2).State, Granted)
+	assert.Assert(t, g.lastReply(2).Ran)
+	assert.Equal(t, g.claim(c, 3, "j").State, Held)
+	g.advance(AnswerRetention) // the void refusal leaves the claim in place
+	assert.Equal(t, g.claim(c, 3, "j").State, Held)
+}
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -66,16 +66,30 @@
 	case claim.Held:
 		o.handleHeld(now, j, a)
 	case claim.Answered:
+		if r.Outcome == claim.Refused && j.started() {
+			j.setHomeState(a, granted) // an agent of the previous version; see Registry.Claim
+			break
+		}
 		if !j.joined() {
 			o.logJoined(j, a, "answered")
 			o.stats.Joined++
 		}
-		o.answer(now, j, answerOf(r))
+		o.answer(now, j, j.knownAnswer(answerOf(r)))
 		return
 	}
 	o.claimsChanged(now, j)
 }
 
+// knownAnswer returns the answer to j for an answer that a home has retained. A refusal is one of an
+// earlier submission, which ran nothing, unless another entry holds j now and has refused it. If j
+// may have run in yet another submission, it is given up instead.
+func (j *job) knownAnswer(a Answer) Answer {
+	if a.Kind == Refused && j.mayHaveRun() && !j.joined() {
+		a.Kind = GivenUp
+	}
+	return a
+}
+
 // setHomeState records the state of the claim of j at a home.
 func (j *job) setHomeState(a *agent, state homeState) {
 	for k := range j.homes {
--- a/owner/claim_test.go
+++ b/owner/claim_test.go
@@ -446,3 +446,39 @@
 	b.reply(homes[1], claim.Reply{Job: "1", State: claim.Granted})
 	assert.Equal(t, len(b.allStarts()), 1)
 }
+
+// TestOldRefusalDoesNotEndStartedJob guards against a caller that is told "not run" of a job that is
+// running: one of its homes is lost, and the next one still has the refusal of an earlier submission.
+func TestOldRefusalDoesNotEndStartedJob(t *testing.T) {
+	b := newClaimHarness(t, 6)
+	b.submit(jobOf("1", 1))
+	homes := b.grantAll("1")
+	assert.Equal(t, len(b.allStarts()), 1)
+	b.Disconnected(b.now, b.now, homes[0].name)
+	for _, a := range b.homesOf("1") {
+		if a != homes[1] {
+			b.reply(a, claim.Reply{Job: "1", State: claim.Answered, Outcome: claim.Refused, Retry: time.Second})
+		}
+	}
+	_, answered := b.answers["1"]
+	assert.Assert(t, !answered, "answered %+v", b.answers["1"])
+	b.endAll(task.EndDone)
+	assert.Equal(t, b.answers["1"].Kind, Completed)
+}
+
+// TestOldRefusalOfJobThatMayHaveRun guards against a caller that is told "not run" by the refusal of one
+// submission, although a home reports that another submission may have run.
+func TestOldRefusalOfJobThatMayHaveRun(t *testing.T) {
+	b := newClaimHarness(t, 6)
+	b.submit(jobOf("1", 1))
+	homes := b.homesOf("1")
+	b.reply(homes[0], claim.Reply{Job: "1", State: claim.Granted, Ran: true})
+	b.reply(homes[1], claim.Reply{Job: "1", State: claim.Answered, Outcome: claim.Refused, Retry: time.Second})
+	assert.Equal(t, b.answers["1"].Kind, GivenUp)
+	assert.Equal(t, len(b.allStarts()), 0)
+
+	b.submit(jobOf("2", 1))
+	b.reply(b.homesOf("2")[0], claim.Reply{Job: "2", State: claim.Held})
+	b.reply(b.homesOf("2")[0], claim.Reply{Job: "2", State: claim.Answered, Outcome: claim.Refused, Retry: time.Second})
+	assert.Equal(t, b.answers["2"].Kind, Refused) // by the entry that held it
+}
