owner: a reply to a claim that was released grants nothing

What callers may have seen: a job that was submitted at two entries and starts at both for a round trip.

Cause: an entry that claims a job at the same home twice on one connection took the next reply for the reply to the last claim. In between it had released the first one: after the home was silent, after the job was dropped and submitted again, or when the runs of a dropped submission had ended (reclaim). The home, having read the release, may have granted the job to another entry.

Evidence: TestReplyToVoidedClaimGrantsNothing, TestReplyToClaimOfEarlierSubmissionGrantsNothing and TestReclaimWaitsForReplyToFirstClaim failed before: a task was started by the first reply.

Fix: a claim that is released without a reply is void; its reply grants nothing, and the job is claimed at that home again only after it. Nothing changes on the wire.

--- a/owner/agent.go
+++ b/owner/agent.go
@@ -52,6 +52,10 @@
 	// to have left a claim unanswered, zero while it answers.
 	hash        uint64
 	silentSince time.Duration
+	// voidClaims are the jobs whose claim was released before the agent has replied to it. They are
+	// not claimed there again until the reply has arrived, which would be taken for one to the
+	// later claim.
+	voidClaims map[string]bool
 	// lastHall is the data hall of its target as last reported on any connection.
 	lastHall string
 	// eligibleHome reports whether jobs may be claimed there, by IsHome.
--- a/owner/claim.go
+++ b/owner/claim.go
@@ -51,15 +51,24 @@
 // receiveReply handles a home's reply to a claim.
 func (o *Owner) receiveReply(now time.Duration, a *agent, r claim.Reply) {
 	o.cancelReply(now, r)
+	void := a.voidClaims[r.Job] && r.State <= claim.Answered
+	if void {
+		delete(a.voidClaims, r.Job)
+	}
 	j := o.jobs[r.Job]
 	if j == nil {
 		return
 	}
+	if void {
+		o.claimAt(now, j, a)
+	}
 	switch r.State {
 	case claim.Granted:
 		j.earlierRun = j.earlierRun || r.Ran
 		j.earlierLosses = max(j.earlierLosses, r.Losses)
-		j.setHomeState(a, granted)
+		if !void {
+			j.setHomeState(a, granted)
+		}
 		if o.giveUpAfterLosses(now, j) {
 			return
 		}
@@ -74,7 +83,9 @@
 			o.logJoined(j, a, "answered")
 			o.stats.Joined++
 		}
-		o.answer(now, j, j.knownAnswer(answerOf(r)))
+		known := j.knownAnswer(answerOf(r))
+		j.setHomeState(a, granted) // it has replied
+		o.answer(now, j, known)
 		return
 	}
 	o.claimsChanged(now, j)
@@ -162,6 +173,7 @@
 	for _, h := range j.homes {
 		if h.rank > rank {
 			released = append(released, h.agent)
+			j.voidIfAsked(h)
 			o.sendSettlement(h.agent, j.releaseOf(!j.started()), true)
 		}
 	}
--- a/owner/connection.go
+++ b/owner/connection.go
@@ -39,6 +39,7 @@
 	a.roomRequested = false
 	a.reserved = nil
 	a.silentSince = 0
+	a.voidClaims = make(map[string]bool)
 	a.out = peer.Frame{}
 	o.markDirty(a)
 	o.logAgentConnected(a)
--- a/owner/dropped.go
+++ b/owner/dropped.go
@@ -54,17 +54,20 @@
 	}
 }
 
-// reclaim claims j again at its homes except those where another entry holds the claim. The
-// homes were just informed that no earlier run of j is left.
+// reclaim claims j again at its homes, except those where another entry holds the claim and those
+// that have not replied yet. The homes were just informed that no earlier run of j is left.
 func (o *Owner) reclaim(now time.Duration, j *job) {
 	homes := j.homes
 	j.homes = nil
 	for _, h := range homes {
-		if h.state == held {
+		switch h.state {
+		case held:
 			j.homes = append(j.homes, h)
-			continue
+		case asked:
+			j.voidIfAsked(h)
+		default:
+			o.addHome(now, j, h.agent)
 		}
-		o.addHome(now, j, h.agent)
 	}
 	o.claimsChanged(now, j)
 }
--- a/owner/home.go
+++ b/owner/home.go
@@ -50,6 +50,19 @@
 	return a.eligibleHome && a.answers()
 }
 
+// mayClaimAt reports whether j may be claimed at a.
+func (j *job) mayClaimAt(a *agent) bool {
+	return a.mayBeHome() && !j.hasHome(a) && !a.voidClaims[j.desc.ID]
+}
+
+// voidIfAsked records that the claim of j at h is about to be released or repeated, if h has not
+// replied to it.
+func (j *job) voidIfAsked(h home) {
+	if h.state == asked {
+		h.agent.voidClaims[j.desc.ID] = true
+	}
+}
+
 // homesExist reports whether an agent that supports claims is connected, silent or not.
 func (o *Owner) homesExist() bool {
 	return slices.ContainsFunc(o.byName, func(a *agent) bool { return a.connected && a.level >= peer.LevelClaim })
@@ -86,7 +99,7 @@
 	var best *agent
 	var least claim.Rank
 	for _, a := range o.byName {
-		if !a.mayBeHome() || j.hasHome(a) || otherHall && j.hasHomeInHall(a.profile.Hall) {
+		if !j.mayClaimAt(a) || otherHall && j.hasHomeInHall(a.profile.Hall) {
 			continue
 		}
 		if rank := claim.RankOf(j.hash, a.hash); best == nil || rank < least {
@@ -138,10 +151,15 @@
 		return
 	}
 	for _, j := range o.sortedJobs() {
-		rank := claim.RankOf(j.hash, a.hash)
-		if j.homeCount > 0 && !j.hasHome(a) && (len(j.homes) < j.homeCount || rank < j.homes[len(j.homes)-1].rank) {
-			o.addHome(now, j, a)
-		}
+		o.claimAt(now, j, a)
+	}
+}
+
+// claimAt claims j at a if j has too few homes, or one that ranks after a.
+func (o *Owner) claimAt(now time.Duration, j *job, a *agent) {
+	rank := claim.RankOf(j.hash, a.hash)
+	if j.homeCount > 0 && j.mayClaimAt(a) && (len(j.homes) < j.homeCount || rank < j.homes[len(j.homes)-1].rank) {
+		o.addHome(now, j, a)
 	}
 }
 
@@ -154,6 +172,7 @@
 		if k < 0 || a.connected && j.homes[k].state != asked {
 			continue
 		}
+		j.voidIfAsked(j.homes[k])
 		j.homes = slices.Delete(j.homes, k, k+1)
 		j.homeLost = true
 		o.sendSettlement(a, j.releaseOf(true), false)
--- a/owner/settlement.go
+++ b/owner/settlement.go
@@ -41,6 +41,7 @@
 	d := o.dropped[j.desc.ID]
 	s.Clear = d == nil
 	for _, h := range j.homes {
+		j.voidIfAsked(h)
 		if d != nil && !slices.Contains(d.homes, h.agent) {
 			d.homes = append(d.homes, h.agent)
 		}
