--- a/owner/retry_test.go
+++ b/owner/retry_test.go
@@ -41,3 +41,23 @@
 	assert.Assert(t, !b.allowed(b.now, b.jobs["1"], 0, task1, b.agents["a"]))
 	assert.Equal(t, task1.avoidUntil-b.now, failureBackoff-680*ms)
 }
+
+// TestEndOfEarlierConnectionIsIgnored guards against a second run of a task: the rejection of an order that
+// an agent received before the connection was lost must not stand for the end of its run.
+func TestEndOfEarlierConnectionIsIgnored(t *testing.T) {
+	b := newHarness(t, "a", "b")
+	b.reportState("a", 4000, 1, 0)
+	b.submit(jobOf("1", 1))
+	o := b.starts("a")[0]
+	b.Disconnected(b.now, b.now, "a")
+	b.Connected(b.now, "a")
+	b.reportState("b", 4000, 1, 0)
+	for _, why := range []code.Code{code.RunPresent, code.RunNoRoom, code.RunStaleOwner, code.RunAbsent} {
+		b.reportEnd("a", o, task.EndRejected, why)
+		assert.Equal(t, len(b.starts("b")), 0, why.String())
+	}
+	b.now += ClearTime - 10*ms
+	b.reportState("b", 4000, 1, 0)
+	b.Tick(b.now)
+	assert.Equal(t, len(b.starts("b")), 0, "before the earlier run is certain to be over")
+}
--- a/supervisor/starting_test.go
+++ b/supervisor/starting_test.go
@@ -223,3 +223,21 @@
 	assert.Equal(t, len(b.runs), 0)
 	assert.Equal(t, b.sentEnds()[0].End, task.EndRejected)
 }
+
+// TestOrderForPresentRunLeavesItAlone guards against an entry that connects again and orders a task whose
+// run from its earlier connection may be active: the rejection of the order must not end that run.
+func TestOrderForPresentRunLeavesItAlone(t *testing.T) {
+	b := newHarness(t)
+	b.sendTries(t, 2)
+	b.Disconnected(b.now, 1)
+	b.Connected(b.now, 2, peer.Hello{Name: "edge", Level: peer.LevelBase})
+	again := order(0, 4000)
+	again.Run = 2
+	b.Receive(b.now, 2, &peer.Frame{Seq: 1, Echo: b.now, Starts: []task.Order{again}})
+	assert.Equal(t, len(b.sentEnds()), 1)
+	assert.Equal(t, b.sentEnds()[0].Ref.Run, 2)
+	assert.Equal(t, b.sentEnds()[0].Reason, code.RunPresent)
+	assert.Equal(t, b.runs[order(0, 0).Task.String()].order.Run, 1)
+	assert.Equal(t, b.freeRoom(b.now, nil).CPU, 0)
+	assert.Assert(t, !b.currentCoreState(b.now, b.sessions[2]).cleared)
+}
