owner, supervisor: split the handling of replies, no stop of a run that can't start

receiveReply had grown to do three jobs: void claims and recorded answers have functions of their own. A rejection that arrives when the run can no longer start leaves it to the next list, where it sent a needless stop.

--- a/owner/claim.go
+++ b/owner/claim.go
@@ -51,10 +51,7 @@
 // receiveReply handles a home's reply to a claim.
 func (o *Owner) receiveReply(now time.Duration, a *agent, r claim.Reply) {
 	o.cancelReply(now, r)
-	void := a.voidClaims[r.Job] && r.State <= claim.Answered
-	if void {
-		delete(a.voidClaims, r.Job)
-	}
+	void := a.takeVoidClaim(r)
 	j := o.jobs[r.Job]
 	if j == nil {
 		return
@@ -75,22 +72,39 @@
 	case claim.Held:
 		o.handleHeld(now, j, a)
 	case claim.Answered:
-		if r.Outcome == claim.Refused && j.started() {
-			j.setHomeState(a, granted) // an agent of the previous version; see Registry.Claim
-			break
-		}
-		if !j.joined() {
-			o.logJoined(j, a, "answered")
-			o.stats.Joined++
+		if o.receiveAnswer(now, j, a, r) {
+			return
 		}
-		known := j.knownAnswer(answerOf(r))
-		j.setHomeState(a, granted) // it has replied
-		o.answer(now, j, known)
-		return
 	}
 	o.claimsChanged(now, j)
 }
 
+// takeVoidClaim reports whether r is the reply to a void claim, and removes that claim.
+func (a *agent) takeVoidClaim(r claim.Reply) bool {
+	if r.State == claim.Unknown || r.State == claim.Cancelling || !a.voidClaims[r.Job] {
+		return false // Unknown and Cancelling reply to cancellations
+	}
+	delete(a.voidClaims, r.Job)
+	return true
+}
+
+// receiveAnswer answers j as a home has recorded. It reports false if the answer is the refusal of an
+// earlier submission and j has started: agents of the previous version send it (Registry.Claim).
+func (o *Owner) receiveAnswer(now time.Duration, j *job, a *agent, r claim.Reply) bool {
+	if r.Outcome == claim.Refused && j.started() {
+		j.setHomeState(a, granted)
+		return false
+	}
+	if !j.joined() {
+		o.logJoined(j, a, "answered")
+		o.stats.Joined++
+	}
+	known := j.knownAnswer(answerOf(r))
+	j.setHomeState(a, granted) // it has replied, so that the claim does not become void
+	o.answer(now, j, known)
+	return true
+}
+
 // knownAnswer returns the answer to j for an answer that a home has retained. A refusal is one of an
 // earlier submission, which ran nothing, unless another entry holds j now and has refused it. If j
 // may have run in yet another submission, it is given up instead.
--- a/supervisor/starting.go
+++ b/supervisor/starting.go
@@ -79,7 +79,7 @@
 	case r.started: // the lists decide
 	case open == 0:
 		s.finish(now, r, task.EndRejected, outcome.Code())
-	case outcome == RejectedStaleRun || !s.Rules.AwaitOpenStarts:
+	case r.cannotStart || outcome == RejectedStaleRun || !s.Rules.AwaitOpenStarts:
 		r.markCannotStart(now)
 	default:
 		s.stop(now, r, outcome.Code())
