peer: a test that a frame cut by the end of its connection is not read

One more path on which an answer to a part might stand for the whole: no prefix of a frame is decoded, so that an order is received whole or not at all. The test passed at once.

--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -48,6 +48,17 @@
 	assert.Equal(t, second.Seq, uint64(4))
 }
 
+// TestCutFrameIsNotRead guards against orders taken from the beginning of a frame whose connection
+// ended before the rest arrived.
+func TestCutFrameIsNotRead(t *testing.T) {
+	buf, err := AppendFrame(nil, fullFrame())
+	assert.NilError(t, err)
+	for length := range len(buf) {
+		f, err := ReadFrame(bytes.NewReader(buf[:length]))
+		assert.Assert(t, err != nil && f == nil, "%d of %d bytes", length, len(buf))
+	}
+}
+
 func TestOversizedFrameIsRejected(t *testing.T) {
 	_, err := ReadFrame(bytes.NewReader([]byte{0xff, 0, 0, 0, 1}))
 	assert.ErrorIs(t, err, ErrFrameSize)
