--- /dev/null
+++ b/review/rig3/cases.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// retransmit is how long after a broken connection a client sends its request again
+// (retransmit_ms).
+const retransmit = 1300 * time.Millisecond
+
+// cancelBound is cancel_ms.
+const cancelBound = 3000 * time.Millisecond
+
+// twice returns errBroken if two runs of one task of the job went on at the same time.
+func (s *scene) twice(job string) error {
+	if both, what := s.system.rec.overlaps(job); both > 0 {
+		return fmt.Errorf("%w: TWICE: for %d ms, %s", errBroken, both.Milliseconds(), what)
+	}
+	return nil
+}
+
+// awaitStart waits until a worker runs a task of the job.
+func (s *scene) awaitStart(job string) error {
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(5 * time.Millisecond) {
+		if holder(s.workers, job) != nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("job %s was not started", job)
+}
+
+// refusedCopy: a client's connection breaks and the entry does not learn of it. The client sends the
+// job again at a second entry, with the time that it still waits, is refused, and comes back when it is told to.
+func refusedCopy(s *scene) error {
+	const work, wait = 5500 * time.Millisecond, 6000 * time.Millisecond
+	job := jobID(1)
+	began := time.Now()
+	first := s.sendLater(s.links[0], http.MethodPost, prefix+job, chain(1, work), wait)
+	if err := s.awaitStart(job); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(time.Second)))
+	if s.trouble {
+		s.client.rec.notef("the client's connection is reset; the reset does not reach the entry")
+		s.links[0].breakAtClients()
+		if a := <-first; a.status != 0 {
+			return fmt.Errorf("the connection is not broken: %v", a)
+		}
+		time.Sleep(retransmit)
+		second := s.send(s.links[1], http.MethodPost, prefix+job, chain(1, work), wait-time.Since(began))
+		if second.status == http.StatusServiceUnavailable {
+			time.Sleep(second.retryAfter())
+			s.send(s.links[2], http.MethodPost, prefix+job, chain(1, work), wait)
+		}
+	} else {
+		<-first
+	}
+	time.Sleep(500 * time.Millisecond)
+	return s.twice(job)
+}
+
+// shortFreeze: the entry that has the jobs of a client stands still for 0.3 s while the client,
+// whose connections were broken before, sends the jobs again at another entry.
+func shortFreeze(s *scene) error {
+	const jobs, work, wait = 4, 8000 * time.Millisecond, 12000 * time.Millisecond
+	const freeze, lead = 300 * time.Millisecond, 100 * time.Millisecond
+	began := time.Now()
+	var ids []string
+	var first, second []<-chan answer
+	for k := range jobs {
+		ids = append(ids, jobID(k))
+		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], chain(1, work), wait))
+	}
+	for _, id := range ids {
+		if err := s.awaitStart(id); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(began.Add(time.Second)))
+	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
+	s.links[0].breakAtClients()
+	for _, got := range first {
+		<-got
+	}
+	time.Sleep(retransmit - lead)
+	if s.trouble {
+		s.pause(s.entries[0], freeze)
+	}
+	time.Sleep(lead)
+	for _, id := range ids {
+		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(1, work), wait))
+	}
+	for _, got := range second {
+		<-got
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range ids {
+		if err := s.twice(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rollAgents: the machines beside the workers of two zones are stopped and started in turn, while a client,
+// whose connections were broken before, waits at another entry for the jobs that it has sent again.
+// The jobs run in the third zone.
+func rollAgents(s *scene) error {
+	const jobs, work, wait = 12, 16 * time.Second, 30 * time.Second
+	const gap, startDelay = 1360 * time.Millisecond, 600 * time.Millisecond
+	zone := s.workers[0].zone
+	body := chainAt("r-"+zone, 1, work)
+	var ids []string
+	var first, second []<-chan answer
+	for k := range jobs {
+		ids = append(ids, jobID(k))
+		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], body, wait))
+	}
+	for _, id := range ids {
+		if err := s.awaitStart(id); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
+	s.links[0].breakAtClients()
+	for _, got := range first {
+		<-got
+	}
+	time.Sleep(retransmit)
+	for _, id := range ids {
+		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, body, wait))
+	}
+	time.Sleep(500 * time.Millisecond)
+	for k, a := range s.agents {
+		if !s.trouble || s.workers[k].zone == zone {
+			continue
+		}
+		next := time.Now().Add(gap)
+		s.client.rec.notef("%s gets SIGTERM", a.name)
+		a.signal(syscall.SIGTERM)
+		_ = a.cmd.Wait()
+		time.Sleep(startDelay)
+		s.client.rec.notef("%s is started again", a.name)
+		if err := a.start(); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(next))
+	}
+	for _, got := range second {
+		<-got
+	}
+	for _, id := range ids {
+		if err := s.twice(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pause stops a process now and continues it after a time.
+func (s *scene) pause(p *process, length time.Duration) {
+	s.client.rec.notef("%s stands still", p.name)
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(length, func() {
+		p.signal(syscall.SIGCONT)
+		s.client.rec.notef("%s goes on", p.name)
+	})
+}
+
+// blindCancel: a job is cancelled through an entry that stood still until just before.
+func blindCancel(s *scene) error {
+	const work, wait, freeze = 4000 * time.Millisecond, 30 * time.Second, 2500 * time.Millisecond
+	job := jobID(1)
+	first := s.sendLater(s.links[0], http.MethodPost, prefix+job, chain(4, work), wait)
+	if err := s.awaitStart(job); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	if s.trouble {
+		s.pause(s.entries[1], freeze)
+		time.Sleep(500 * time.Millisecond)
+	}
+	cancelled := s.send(s.links[1], http.MethodDelete, prefix+job, "", 10*time.Second)
+	acknowledged := s.client.rec.now()
+	if cancelled.status != http.StatusOK && cancelled.status != http.StatusGone {
+		return fmt.Errorf("the cancellation was not acknowledged: %v", cancelled)
+	}
+	<-first
+	return s.unasked(job, acknowledged)
+}
+
+// unasked returns errBroken if a task of the job was started later than cancel_ms after its
+// cancellation was acknowledged.
+func (s *scene) unasked(job string, acknowledged time.Duration) error {
+	for _, i := range s.client.rec.intervals(job) {
+		if late := i.begin - acknowledged; late > cancelBound {
+			return fmt.Errorf("%w: UNASKED: %s starts %d ms after the cancellation was acknowledged", errBroken, i.task,
+				late.Milliseconds())
+		}
+	}
+	return nil
+}
+
+// killAfterCancel: the entry that has three jobs is killed 0.2 s after it has acknowledged their
+// cancellation; nothing had been submitted for a while. Late copies of the submissions then arrive
+// at another entry.
+func killAfterCancel(s *scene) error {
+	const jobs, steps, work, wait = 3, 12, 2000 * time.Millisecond, 60 * time.Second
+	const quiet, survives, copyAfter = 12900 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second
+	var ids []string
+	var first []<-chan answer
+	for k := range jobs {
+		ids = append(ids, jobID(k))
+		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], chain(steps, work), wait))
+	}
+	time.Sleep(quiet)
+	acknowledged := make([]time.Duration, jobs)
+	for k, id := range ids {
+		cancelled := s.send(s.links[0], http.MethodDelete, prefix+id, "", 10*time.Second)
+		if cancelled.status != http.StatusOK {
+			return fmt.Errorf("the cancellation was not acknowledged: %v", cancelled)
+		}
+		acknowledged[k] = s.client.rec.now()
+	}
+	time.Sleep(survives)
+	if s.trouble {
+		s.entries[0].signal(syscall.SIGKILL)
+		s.client.rec.notef("%s is killed", s.entries[0].name)
+	}
+	for _, got := range first {
+		<-got
+	}
+	time.Sleep(copyAfter - survives)
+	for _, id := range ids {
+		s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(steps, work), wait)
+	}
+	time.Sleep(cancelBound + 2*work)
+	for k, id := range ids {
+		if err := s.unasked(id, acknowledged[k]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
