--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -35,14 +35,14 @@
 // refusedCopy: a client's connection breaks and the entry does not learn of it. The client sends the
 // job again at a second entry, with the time that it still waits, is refused, and comes back when it is told to.
 func refusedCopy(s *scene) error {
-	const work, wait = 5500 * time.Millisecond, 6000 * time.Millisecond
+	const work, wait, breakAfter = 3500 * time.Millisecond, 3900 * time.Millisecond, 300 * time.Millisecond
 	job := jobID(1)
 	began := time.Now()
 	first := s.sendLater(s.links[0], http.MethodPost, prefix+job, chain(1, work), wait)
 	if err := s.awaitStart(job); err != nil {
 		return err
 	}
-	time.Sleep(time.Until(began.Add(time.Second)))
+	time.Sleep(time.Until(began.Add(breakAfter)))
 	if s.trouble {
 		s.client.rec.notef("the client's connection is reset; the reset does not reach the entry")
 		s.links[0].breakAtClients()
@@ -65,7 +65,7 @@
 // shortFreeze: the entry that has the jobs of a client stands still for 0.3 s while the client,
 // whose connections were broken before, sends the jobs again at another entry.
 func shortFreeze(s *scene) error {
-	const jobs, work, wait = 4, 8000 * time.Millisecond, 12000 * time.Millisecond
+	const jobs, work, wait, breakAfter = 4, 3600 * time.Millisecond, 12000 * time.Millisecond, 100 * time.Millisecond
 	const freeze, lead = 300 * time.Millisecond, 100 * time.Millisecond
 	began := time.Now()
 	var ids []string
@@ -79,7 +79,7 @@
 			return err
 		}
 	}
-	time.Sleep(time.Until(began.Add(time.Second)))
+	time.Sleep(time.Until(began.Add(breakAfter)))
 	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
 	s.links[0].breakAtClients()
 	for _, got := range first {
