--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -62,11 +62,11 @@
 	return s.twice(job)
 }
 
-// shortFreeze: the entry that has the jobs of a client stands still for 0.3 s while the client,
+// shortFreeze: the entry that has the jobs of a client stands still for 0.4 s while the client,
 // whose connections were broken before, sends the jobs again at another entry.
 func shortFreeze(s *scene) error {
 	const jobs, work, wait, breakAfter = 4, 3600 * time.Millisecond, 12000 * time.Millisecond, 100 * time.Millisecond
-	const freeze, lead = 300 * time.Millisecond, 100 * time.Millisecond
+	const freeze, lead = 400 * time.Millisecond, 100 * time.Millisecond
 	began := time.Now()
 	var ids []string
 	var first, second []<-chan answer
@@ -107,9 +107,19 @@
 
 // rollAgents: the machines beside the workers of two zones are stopped and started in turn, while a client,
 // whose connections were broken before, waits at another entry for the jobs that it has sent again.
-// The jobs run in the third zone.
+// The jobs run in the third zone. Up to seven times.
 func rollAgents(s *scene) error {
-	const jobs, work, wait = 12, 16 * time.Second, 30 * time.Second
+	for range 7 {
+		if err := s.rollOnce(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rollOnce plays one round of rollAgents.
+func (s *scene) rollOnce() error {
+	const jobs, work, wait, breakAfter = 8, 13 * time.Second, 30 * time.Second, 100 * time.Millisecond
 	const gap, startDelay = 1360 * time.Millisecond, 600 * time.Millisecond
 	zone := s.workers[0].zone
 	body := chainAt("r-"+zone, 1, work)
@@ -124,7 +134,7 @@
 			return err
 		}
 	}
-	time.Sleep(time.Second)
+	time.Sleep(breakAfter)
 	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
 	s.links[0].breakAtClients()
 	for _, got := range first {
