--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -62,92 +62,71 @@
 	return s.twice(job)
 }
 
-// shortFreeze: the entry that has the jobs of a client stands still for 0.4 s while the client,
-// whose connections were broken before, sends the jobs again at another entry.
+// shortFreeze: the entry that has a client's job stands still for 0.4 s while the client, whose connection
+// was broken before, sends the job again at another entry. Up to eight times.
 func shortFreeze(s *scene) error {
-	const jobs, work, wait, breakAfter = 4, 3600 * time.Millisecond, 12000 * time.Millisecond, 100 * time.Millisecond
-	const freeze, lead = 400 * time.Millisecond, 100 * time.Millisecond
-	began := time.Now()
-	var ids []string
-	var first, second []<-chan answer
-	for k := range jobs {
-		ids = append(ids, jobID(k))
-		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], chain(1, work), wait))
-	}
-	for _, id := range ids {
-		if err := s.awaitStart(id); err != nil {
+	for k := range 8 {
+		if err := s.freezeOnce(k); err != nil {
 			return err
 		}
 	}
-	time.Sleep(time.Until(began.Add(breakAfter)))
-	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
-	s.links[0].breakAtClients()
-	for _, got := range first {
-		<-got
+	return nil
+}
+
+// freezeOnce plays one round of shortFreeze.
+func (s *scene) freezeOnce(round int) error {
+	const work, wait, breakAfter = 3600 * time.Millisecond, 12000 * time.Millisecond, 100 * time.Millisecond
+	const freeze, lead = 400 * time.Millisecond, 100 * time.Millisecond
+	job := jobID(round)
+	first := s.sendLater(s.links[0], http.MethodPost, prefix+job, chain(1, work), wait)
+	if err := s.awaitStart(job); err != nil {
+		return err
 	}
+	time.Sleep(breakAfter)
+	s.client.rec.notef("the client's connection is reset; the reset does not reach the entry")
+	s.links[0].breakAtClients()
+	<-first
 	time.Sleep(retransmit - lead)
 	if s.trouble {
 		s.pause(s.entries[0], freeze)
 	}
 	time.Sleep(lead)
-	for _, id := range ids {
-		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(1, work), wait))
-	}
-	for _, got := range second {
-		<-got
-	}
+	s.send(s.links[1], http.MethodPost, prefix+job, chain(1, work), wait)
 	time.Sleep(500 * time.Millisecond)
-	for _, id := range ids {
-		if err := s.twice(id); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// rollAgents: the machines beside the workers of two zones are stopped and started in turn, while a client,
-// whose connections were broken before, waits at another entry for the jobs that it has sent again.
-// The jobs run in the third zone. Up to seven times.
-func rollAgents(s *scene) error {
-	for range 7 {
-		if err := s.rollOnce(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.twice(job)
 }
 
-// rollOnce plays one round of rollAgents.
-func (s *scene) rollOnce() error {
-	const jobs, work, wait, breakAfter = 8, 13 * time.Second, 30 * time.Second, 100 * time.Millisecond
-	const gap, startDelay = 1360 * time.Millisecond, 600 * time.Millisecond
-	zone := s.workers[0].zone
-	body := chainAt("r-"+zone, 1, work)
+// rollAfterCancel: jobs are cancelled, and then five of the eleven machines beside the workers are stopped and
+// started in turn. Late copies of the submissions then arrive at another entry.
+func rollAfterCancel(s *scene) error {
+	const jobs, rolled, work, wait = 20, 5, 5 * time.Second, 60 * time.Second
+	const gap, startDelay, copyAfter = 1300 * time.Millisecond, 600 * time.Millisecond, 7 * time.Second
 	var ids []string
-	var first, second []<-chan answer
+	var first []<-chan answer
 	for k := range jobs {
 		ids = append(ids, jobID(k))
-		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], body, wait))
+		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], chain(1, work), wait))
 	}
 	for _, id := range ids {
 		if err := s.awaitStart(id); err != nil {
 			return err
 		}
 	}
-	time.Sleep(breakAfter)
-	s.client.rec.notef("the client's connections are reset; the resets do not reach the entry")
-	s.links[0].breakAtClients()
+	acknowledged := make([]time.Duration, jobs)
+	for k, id := range ids {
+		cancelled := s.send(s.links[0], http.MethodDelete, prefix+id, "", 10*time.Second)
+		if cancelled.status != http.StatusOK {
+			return fmt.Errorf("the cancellation was not acknowledged: %v", cancelled)
+		}
+		acknowledged[k] = s.client.rec.now()
+	}
+	copies := time.Now().Add(copyAfter)
 	for _, got := range first {
 		<-got
 	}
-	time.Sleep(retransmit)
-	for _, id := range ids {
-		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, body, wait))
-	}
-	time.Sleep(500 * time.Millisecond)
-	for k, a := range s.agents {
-		if !s.trouble || s.workers[k].zone == zone {
-			continue
+	for _, a := range s.agents[:rolled] {
+		if !s.trouble {
+			break
 		}
 		next := time.Now().Add(gap)
 		s.client.rec.notef("%s gets SIGTERM", a.name)
@@ -160,11 +139,16 @@
 		}
 		time.Sleep(time.Until(next))
 	}
+	time.Sleep(time.Until(copies))
+	var second []<-chan answer
+	for _, id := range ids {
+		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(1, work), wait))
+	}
 	for _, got := range second {
 		<-got
 	}
-	for _, id := range ids {
-		if err := s.twice(id); err != nil {
+	for k, id := range ids {
+		if err := s.unasked(id, acknowledged[k]); err != nil {
 			return err
 		}
 	}
@@ -215,12 +199,12 @@
 	return nil
 }
 
-// killAfterCancel: the entry that has three jobs is killed 0.2 s after it has acknowledged their
+// killAfterCancel: the entry that has six jobs is killed 0.2 s after it has acknowledged their
 // cancellation; nothing had been submitted for a while. Late copies of the submissions then arrive
 // at another entry.
 func killAfterCancel(s *scene) error {
-	const jobs, steps, work, wait = 3, 12, 2000 * time.Millisecond, 60 * time.Second
-	const quiet, survives, copyAfter = 12900 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second
+	const jobs, steps, work, wait = 6, 12, 2000 * time.Millisecond, 60 * time.Second
+	const quiet, survives, copyAfter = 12900 * time.Millisecond, 200 * time.Millisecond, 3500 * time.Millisecond
 	var ids []string
 	var first []<-chan answer
 	for k := range jobs {
@@ -248,7 +232,7 @@
 	for _, id := range ids {
 		s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(steps, work), wait)
 	}
-	time.Sleep(cancelBound + 2*work)
+	time.Sleep(work)
 	for k, id := range ids {
 		if err := s.unasked(id, acknowledged[k]); err != nil {
 			return err
--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -145,17 +145,9 @@
 
 // chain returns the body of a job of steps that follow each other, with one task each.
 func chain(steps int, work time.Duration) string {
-	return chainAt("", steps, work)
-}
-
-// chainAt is chain for a job that requires a label.
-func chainAt(label string, steps int, work time.Duration) string {
 	var list []map[string]any
 	for k := range steps {
 		s := map[string]any{"count": 1, "cpu": 1600, "mem_mb": 64, "estimate_ms": work.Milliseconds()}
-		if label != "" {
-			s["requires"] = label
-		}
 		if k > 0 {
 			s["depends_on"] = []int{k - 1}
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -27,7 +27,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*scene) error{
-	"roll-agents":       rollAgents,
+	"roll-after-cancel": rollAfterCancel,
 	"refused-copy":      refusedCopy,
 	"short-freeze":      shortFreeze,
 	"blind-cancel":      blindCancel,
