--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -11,8 +11,11 @@
 // (retransmit_ms).
 const retransmit = 1300 * time.Millisecond
 
-// cancelBound is cancel_ms.
-const cancelBound = 3000 * time.Millisecond
+// cancelBound is cancel_ms, contactTime is contact_ms.
+const (
+	cancelBound = 3000 * time.Millisecond
+	contactTime = 3000 * time.Millisecond
+)
 
 // twice returns errBroken if two runs of one task of the job went on at the same time.
 func (s *scene) twice(job string) error {
@@ -100,7 +103,7 @@
 // started in turn. Late copies of the submissions then arrive at another entry.
 func rollAfterCancel(s *scene) error {
 	const jobs, rolled, work, wait = 20, 5, 5 * time.Second, 60 * time.Second
-	const gap, startDelay, copyAfter = 1300 * time.Millisecond, 600 * time.Millisecond, 7 * time.Second
+	const gap, startDelay, copyAfter = 1300 * time.Millisecond, 600 * time.Millisecond, 9 * time.Second
 	var ids []string
 	var first []<-chan answer
 	for k := range jobs {
@@ -124,7 +127,8 @@
 	for _, got := range first {
 		<-got
 	}
-	for _, a := range s.agents[:rolled] {
+	restarted := make(map[string]time.Duration)
+	for k, a := range s.agents[:rolled] {
 		if !s.trouble {
 			break
 		}
@@ -137,6 +141,7 @@
 		if err := a.start(); err != nil {
 			return err
 		}
+		restarted[s.workers[k].name] = s.client.rec.now()
 		time.Sleep(time.Until(next))
 	}
 	time.Sleep(time.Until(copies))
@@ -148,7 +153,7 @@
 		<-got
 	}
 	for k, id := range ids {
-		if err := s.unasked(id, acknowledged[k]); err != nil {
+		if err := s.unasked(id, acknowledged[k], restarted); err != nil {
 			return err
 		}
 	}
@@ -165,10 +170,20 @@
 	})
 }
 
-// blindCancel: a job is cancelled through an entry that stood still until just before.
+// blindCancel: a job is cancelled through an entry that stood still until just before. Up to five times.
 func blindCancel(s *scene) error {
+	for k := range 5 {
+		if err := s.cancelOnce(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cancelOnce plays one round of blindCancel.
+func (s *scene) cancelOnce(round int) error {
 	const work, wait, freeze = 4000 * time.Millisecond, 30 * time.Second, 2500 * time.Millisecond
-	job := jobID(1)
+	job := jobID(round)
 	first := s.sendLater(s.links[0], http.MethodPost, prefix+job, chain(4, work), wait)
 	if err := s.awaitStart(job); err != nil {
 		return err
@@ -184,13 +199,17 @@
 		return fmt.Errorf("the cancellation was not acknowledged: %v", cancelled)
 	}
 	<-first
-	return s.unasked(job, acknowledged)
+	return s.unasked(job, acknowledged, nil)
 }
 
 // unasked returns errBroken if a task of the job was started later than cancel_ms after its
-// cancellation was acknowledged.
-func (s *scene) unasked(job string, acknowledged time.Duration) error {
+// cancellation was acknowledged. restarted holds when the machine of a worker was started again; starts there do
+// not count until it is in touch.
+func (s *scene) unasked(job string, acknowledged time.Duration, restarted map[string]time.Duration) error {
 	for _, i := range s.client.rec.intervals(job) {
+		if at, found := restarted[i.worker]; found && i.begin-at < contactTime {
+			continue
+		}
 		if late := i.begin - acknowledged; late > cancelBound {
 			return fmt.Errorf("%w: UNASKED: %s starts %d ms after the cancellation was acknowledged", errBroken, i.task,
 				late.Milliseconds())
@@ -199,16 +218,26 @@
 	return nil
 }
 
-// killAfterCancel: the entry that has six jobs is killed 0.2 s after it has acknowledged their
-// cancellation; nothing had been submitted for a while. Late copies of the submissions then arrive
-// at another entry.
+// killAfterCancel: an entry is killed 0.2 s after it has acknowledged the cancellation of two jobs; nothing had been
+// submitted for a while. Late copies of the submissions then arrive at another entry. Up to four times.
 func killAfterCancel(s *scene) error {
-	const jobs, steps, work, wait = 6, 12, 2000 * time.Millisecond, 60 * time.Second
+	for k := range 4 {
+		if err := s.killOnce(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// killOnce plays one round of killAfterCancel. The killed entry is started again.
+func (s *scene) killOnce(round int) error {
+	const jobs, steps, work, wait = 2, 12, 2000 * time.Millisecond, 60 * time.Second
 	const quiet, survives, copyAfter = 12900 * time.Millisecond, 200 * time.Millisecond, 3500 * time.Millisecond
+	const startDelay = 600 * time.Millisecond
 	var ids []string
-	var first []<-chan answer
+	var first, second []<-chan answer
 	for k := range jobs {
-		ids = append(ids, jobID(k))
+		ids = append(ids, jobID(round*jobs+k))
 		first = append(first, s.sendLater(s.links[0], http.MethodPost, prefix+ids[k], chain(steps, work), wait))
 	}
 	time.Sleep(quiet)
@@ -220,23 +249,32 @@
 		}
 		acknowledged[k] = s.client.rec.now()
 	}
+	copies := time.Now().Add(copyAfter)
 	time.Sleep(survives)
 	if s.trouble {
-		s.entries[0].signal(syscall.SIGKILL)
+		s.entries[0].kill()
 		s.client.rec.notef("%s is killed", s.entries[0].name)
+		time.Sleep(startDelay)
+		if err := s.entries[0].start(); err != nil {
+			return err
+		}
+		s.client.rec.notef("%s is started again", s.entries[0].name)
 	}
 	for _, got := range first {
 		<-got
 	}
-	time.Sleep(copyAfter - survives)
+	time.Sleep(time.Until(copies))
 	for _, id := range ids {
-		s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(steps, work), wait)
+		second = append(second, s.sendLater(s.links[1], http.MethodPost, prefix+id, chain(steps, work), wait))
 	}
 	time.Sleep(work)
 	for k, id := range ids {
-		if err := s.unasked(id, acknowledged[k]); err != nil {
+		if err := s.unasked(id, acknowledged[k], nil); err != nil {
 			return err
 		}
 	}
-	return nil
+	for _, got := range second {
+		<-got
+	}
+	return s.awaitReady(10 * time.Second)
 }
